--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Embeddable coordination services that drive the core over asynchronous ports. */
+package org.hibiscusreel.coordination;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic: no input or output, no threads, no clock of its own. */
+package org.hibiscusreel.core;
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operator program. */
+package org.hibiscusreel.ctl;
--- /dev/null
+++ b/wire/generate.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Regenerates the committed gRPC code from src/main/proto. The build itself runs no generator.
+set -euo pipefail
+cd "$(dirname "$0")"
+tools=$(mktemp -d)
+trap 'rm -rf "$tools"' EXIT
+mvn -q -B dependency:copy -Dartifact=com.google.protobuf:protoc:4.33.2:exe:linux-x86_64 \
+  -DoutputDirectory="$tools" -Dmdep.stripVersion=true
+mvn -q -B dependency:copy -Dartifact=io.grpc:protoc-gen-grpc-java:1.83.0:exe:linux-x86_64 \
+  -DoutputDirectory="$tools" -Dmdep.stripVersion=true
+chmod +x "$tools"/*.exe
+rm -rf src/generated/java
+mkdir -p src/generated/java
+"$tools/protoc-linux-x86_64.exe" --plugin=protoc-gen-grpc-java="$tools/protoc-gen-grpc-java-linux-x86_64.exe" \
+  --java_out=src/generated/java --grpc-java_out=src/generated/java -I src/main/proto src/main/proto/peer.proto
