Fix the contracts between the modules

Cause: the parts are to be built side by side. Conclusion: each part can be built against the contracts alone.

--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/claim/Claims.java
@@ -0,0 +1,64 @@
+package org.hibiscusreel.coordination.claim;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.core.claim.ClaimRow;
+import org.hibiscusreel.core.request.RequestKey;
+
+/** Claims of calls that may not be repeated. Futures never complete exceptionally. */
+public interface Claims {
+
+  /** Outcome of a look-up. */
+  sealed interface LookUp {
+
+    /**
+     * The row, if there is one.
+     *
+     * @param row the present row, or empty
+     */
+    record Known(Optional<ClaimRow> row) implements LookUp {}
+
+    /**
+     * The platform can't be asked.
+     *
+     * @param reason what happened
+     */
+    record Unavailable(String reason) implements LookUp {}
+  }
+
+  /**
+   * Claims a call before its dispatch.
+   *
+   * @param key the request
+   * @param fingerprint SHA-256 of the normalized content, in hexadecimal
+   * @param waitMillis longest time to wait for the platform, in milliseconds
+   * @return the outcome
+   */
+  CompletableFuture<ClaimResult> claim(RequestKey key, String fingerprint, long waitMillis);
+
+  /**
+   * Withdraws a claim whose call was not dispatched and never will be.
+   *
+   * @param claim the claim
+   * @return true if the withdrawal is committed, false if that is not known
+   */
+  CompletableFuture<Boolean> withdraw(Claim claim);
+
+  /**
+   * Records the outcome of the call. Retries in the background until the platform has it.
+   *
+   * @param claim the claim
+   * @param status HTTP status of the outcome
+   * @param contentType content type of the body, or empty
+   * @param body the body
+   */
+  void finish(Claim claim, int status, String contentType, byte[] body);
+
+  /**
+   * Reads the present row of a claim.
+   *
+   * @param key the request
+   * @return the outcome
+   */
+  CompletableFuture<LookUp> lookUp(RequestKey key);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/config/package-info.java
@@ -0,0 +1,2 @@
+/** Follows the published configuration. */
+package org.hibiscusreel.coordination.config;
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/Billing.java
@@ -0,0 +1,34 @@
+package org.hibiscusreel.coordination.ledger;
+
+import org.hibiscusreel.core.budget.Reservation;
+import org.hibiscusreel.core.ledger.Bill;
+
+/** Records bills and closes the reservations that cover them. */
+public interface Billing {
+
+  /**
+   * Tells whether the buffer can take the bills of the requests in progress and one more.
+   *
+   * @return false when new requests must be refused
+   */
+  boolean hasRoom();
+
+  /**
+   * Takes room in the buffer for the bill of a request that is about to be dispatched.
+   *
+   * @return false when the request must be refused
+   */
+  boolean tryAcquire();
+
+  /** Gives back room of a request that will not be billed. */
+  void release();
+
+  /**
+   * Records the bill of a request that took room. The reservation is trimmed at once and closed
+   * when the bill is in the platform: with its tokens, or with 0 if the request was billed before.
+   *
+   * @param bill the bill
+   * @param reservation reservation that covers it
+   */
+  void record(Bill bill, Reservation reservation);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership of daemons: probes, suspicion and incarnations. */
+package org.hibiscusreel.coordination.membership;
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeSettings.java
@@ -0,0 +1,27 @@
+package org.hibiscusreel.coordination.node;
+
+import java.util.List;
+import org.hibiscusreel.coordination.membership.MemberInfo;
+
+/**
+ * Settings of the coordination services of one daemon.
+ *
+ * @param self this daemon
+ * @param bootId kernel boot identifier of the host, empty if unknown
+ * @param seeds peer addresses to ask first, IP number and port each
+ * @param maxBufferedBills largest number of bills that wait for the platform
+ * @param drainTimeoutMillis longest time that a graceful stop waits for requests in progress, in
+ *     milliseconds
+ */
+public record NodeSettings(
+    MemberInfo self,
+    String bootId,
+    List<String> seeds,
+    int maxBufferedBills,
+    long drainTimeoutMillis) {
+
+  /** Copies the list. */
+  public NodeSettings {
+    seeds = List.copyOf(seeds);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/package-info.java
@@ -0,0 +1,2 @@
+/** The coordination services of one daemon, composed. */
+package org.hibiscusreel.coordination.node;
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Keys and codec of the rows that the platform keeps. */
+package org.hibiscusreel.coordination.platform;
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/CacheEvent.java
@@ -0,0 +1,10 @@
+package org.hibiscusreel.coordination.port;
+
+/**
+ * A cache event of an engine.
+ *
+ * @param seq sequence number; gaps mean lost events
+ * @param stored true if the prefix was stored, false if it was evicted
+ * @param prefixHash hash of the prefix
+ */
+public record CacheEvent(long seq, boolean stored, String prefixHash) {}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/HostList.java
@@ -0,0 +1,50 @@
+package org.hibiscusreel.coordination.port;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's list of hosts and upstreams, which lags behind reality. */
+public interface HostList {
+
+  /** States that the platform gives. */
+  enum State {
+    LIVE,
+    LEAVING,
+    /** The platform destroyed the host; it can never run again. */
+    TERMINATED
+  }
+
+  /**
+   * An entry host.
+   *
+   * @param host name of the host
+   * @param failureDomain failure domain of the host
+   * @param peerAddress IP number and port of its peer service
+   * @param state state as the platform lists it
+   */
+  record Host(String host, String failureDomain, String peerAddress, State state) {}
+
+  /**
+   * An upstream.
+   *
+   * @param name name of the upstream
+   * @param state state as the platform lists it
+   */
+  record ListedUpstream(String name, State state) {}
+
+  /**
+   * The whole list.
+   *
+   * @param hosts entry hosts
+   * @param upstreams upstreams
+   */
+  record Listing(List<Host> hosts, List<ListedUpstream> upstreams) {}
+
+  /**
+   * Fetches the list.
+   *
+   * @return the list, or empty if it can't be had now
+   */
+  CompletableFuture<Optional<Listing>> fetch();
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/WriteResult.java
@@ -0,0 +1,35 @@
+package org.hibiscusreel.coordination.port;
+
+import java.util.List;
+
+/** Outcome of a transaction at the table service. */
+public sealed interface WriteResult {
+
+  /**
+   * The transaction took effect.
+   *
+   * @param versions new versions in the order of the mutations; 0 for deleted rows
+   */
+  record Committed(List<Long> versions) implements WriteResult {}
+
+  /**
+   * A condition did not hold; nothing was changed.
+   *
+   * @param rows the present rows whose condition failed; absent rows have version 0
+   */
+  record Conflict(List<Row> rows) implements WriteResult {}
+
+  /**
+   * The transaction certainly did not take effect, for example because it was throttled.
+   *
+   * @param reason what happened
+   */
+  record NotApplied(String reason) implements WriteResult {}
+
+  /**
+   * The answer was lost; the transaction may have taken effect and may still do so.
+   *
+   * @param reason what happened
+   */
+  record Unknown(String reason) implements WriteResult {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Stamps events and messages with the hybrid logical clock of the process. */
+package org.hibiscusreel.coordination.timeline;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Budgets, allotments and reservations of tokens. */
+package org.hibiscusreel.core.budget;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Bills: one per request. */
+package org.hibiscusreel.core.ledger;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** Identities, outcomes and problems of requests. */
+package org.hibiscusreel.core.request;
