--- a/coordination/src/main/java/org/hibiscusreel/coordination/timeline/EventRecorder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/timeline/EventRecorder.java
@@ -38,17 +38,6 @@
     record(kind, "", "", "", "", detail);
   }
 
-  /**
-   * Records an event about a budget.
-   *
-   * @param kind stable lower-case name
-   * @param budget budget concerned
-   * @param detail further text, may be empty
-   */
-  public void recordBudget(String kind, String budget, String detail) {
-    record(kind, "", "", budget, "", detail);
-  }
-
   /**
    * Records an event.
    *
@@ -65,6 +54,17 @@
         new TimelineEvent(clock.tick(), process, kind, account, request, budget, upstream, detail));
   }
 
+  /**
+   * Records an event about a budget.
+   *
+   * @param kind stable lower-case name
+   * @param budget budget concerned
+   * @param detail further text, may be empty
+   */
+  public void recordBudget(String kind, String budget, String detail) {
+    record(kind, "", "", budget, "", detail);
+  }
+
   /**
    * Stamps an outgoing message.
    *
