--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/SimText.java
@@ -0,0 +1,64 @@
+package org.hibiscusreel.bench.sim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Requests to simulated engines and the answers that follow from them alone. */
+public final class SimText {
+
+  /** A prompt with this text makes the engine crash that runs it. */
+  public static final String CRASH_MARKER = "crash-the-engine";
+
+  private static final Pattern LENGTH = Pattern.compile("\"pieces\":(\\d+)");
+  private static final int WORDS = 997;
+
+  private SimText() {}
+
+  /**
+   * Returns the body of a request.
+   *
+   * @param prompt the prompt, without quotes
+   * @param pieces number of pieces that the answer has
+   * @return JSON text
+   */
+  public static byte[] body(String prompt, int pieces) {
+    return ("{\"prompt\":\"" + prompt + "\",\"pieces\":" + pieces + ",\"stream\":true}")
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Returns the pieces of the answer to a request.
+   *
+   * @param body body of the request
+   * @return the pieces in order
+   * @throws IllegalArgumentException if the body names no number of pieces
+   */
+  public static List<String> pieces(byte[] body) {
+    String text = new String(body, StandardCharsets.UTF_8);
+    Matcher m = LENGTH.matcher(text);
+    if (!m.find()) {
+      throw new IllegalArgumentException("the body names no number of pieces");
+    }
+    int n = Integer.parseInt(m.group(1));
+    int h = text.hashCode();
+    List<String> out = new ArrayList<>(n);
+    for (int i = 0; i < n; i++) {
+      h = h * 31 + i;
+      out.add("w" + Math.floorMod(h, WORDS) + " ");
+    }
+    return out;
+  }
+
+  /**
+   * Returns the whole answer to a request.
+   *
+   * @param body body of the request
+   * @return the text
+   */
+  public static String answer(byte[] body) {
+    return String.join("", pieces(body));
+  }
+}
