--- /dev/null
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/check/PromiseCheckerTest.java
@@ -0,0 +1,155 @@
+package org.hibiscusreel.bench.check;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.hibiscusreel.bench.check.Violation.Promise;
+import org.hibiscusreel.coordination.port.DispatchMetadata;
+import org.hibiscusreel.coordination.port.UsageRecord;
+import org.hibiscusreel.core.budget.AllotmentRow;
+import org.hibiscusreel.core.budget.BudgetRow;
+import org.hibiscusreel.core.budget.Lean;
+import org.hibiscusreel.core.budget.TopUp;
+import org.hibiscusreel.core.ledger.Bill;
+import org.hibiscusreel.core.request.Ran;
+import org.hibiscusreel.core.request.RequestKey;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a checker that passes observations which break a promise. */
+class PromiseCheckerTest {
+
+  private final List<BilledRow> bills = new ArrayList<>();
+  private final List<Attempt> attempts = new ArrayList<>();
+  private final List<EngineRun> engineRuns = new ArrayList<>();
+  private final List<ServiceRun> serviceRuns = new ArrayList<>();
+  private long granted = 1_000;
+
+  @Test
+  void acceptsServedAndBilledRequest() {
+    serve("r1", 100);
+    assertThat(promises()).isEmpty();
+  }
+
+  @Test
+  void reportsOverspend() {
+    granted = 150;
+    serve("r1", 100);
+    serve("r2", 100);
+    assertThat(promises()).contains(Promise.OVERSPEND);
+  }
+
+  @Test
+  void reportsMoreBilledThanTheHolderDrew() {
+    granted = 10_000;
+    for (int i = 0; i < 11; i++) {
+      serve("r" + i, 100);
+    }
+    assertThat(promises()).containsExactly(Promise.OVERSPEND);
+  }
+
+  @Test
+  void reportsSecondBillOfOneRequest() {
+    serve("r1", 100);
+    bills.add(new BilledRow("acc", "r1~x", bill("r1", "res-other", 100)));
+    engineRuns.add(run("r1", "res-other", 100));
+    assertThat(promises()).containsExactly(Promise.BILLED_TWICE);
+  }
+
+  @Test
+  void reportsServedRequestWithoutBill() {
+    serve("r1", 100);
+    bills.clear();
+    assertThat(promises()).containsExactly(Promise.UNBILLED);
+  }
+
+  @Test
+  void reportsBillThatNoEngineUsed() {
+    serve("r1", 100);
+    bills.set(0, new BilledRow("acc", "r1", bill("r1", "res-r1", 101)));
+    assertThat(promises()).containsExactly(Promise.WRONG_AMOUNT);
+  }
+
+  @Test
+  void reportsTruncatedAnswer() {
+    serve("r1", 100);
+    attempts.add(attempt("r1", false, true, new Outcome.Whole("tex")));
+    assertThat(promises()).containsExactly(Promise.INCOMPLETE_ANSWER);
+  }
+
+  @Test
+  void reportsUntrueRefusalOfModelCall() {
+    attempts.add(attempt("r1", false, true, new Outcome.Refused("overloaded", Ran.NO)));
+    engineRuns.add(run("r1", "res-r1", 100));
+    assertThat(promises()).containsExactly(Promise.UNTRUE_REFUSAL);
+  }
+
+  @Test
+  void reportsUntrueRefusalOfServiceCall() {
+    attempts.add(attempt("s1", true, false, new Outcome.Refused("claim_unavailable", Ran.NO)));
+    serviceRuns.add(new ServiceRun("svc", "sign", "s1", 20));
+    assertThat(promises()).containsExactly(Promise.UNTRUE_REFUSAL);
+  }
+
+  @Test
+  void reportsSecondRunOfCallThatMayNotBeRepeated() {
+    attempts.add(attempt("s1", true, false, new Outcome.Broken("timeout")));
+    serviceRuns.add(new ServiceRun("svc", "sign", "s1", 20));
+    serviceRuns.add(new ServiceRun("svc", "sign", "s1", 30));
+    assertThat(promises()).containsExactly(Promise.RUN_TWICE);
+  }
+
+  private void serve(String id, long tokens) {
+    attempts.add(attempt(id, false, true, new Outcome.Whole("text")));
+    engineRuns.add(run(id, "res-" + id, tokens));
+    bills.add(new BilledRow("acc", id, bill(id, "res-" + id, tokens)));
+  }
+
+  private List<Promise> promises() {
+    BudgetRow b =
+        new BudgetRow("acc", granted, granted, Lean.BALANCED, List.of(new TopUp("t", granted, 0)));
+    long drawn = Math.min(granted, 1_000);
+    Observations o =
+        new Observations(
+            Map.of("b", b),
+            Map.of("b", Map.of("holder", new AllotmentRow(drawn, 0, false))),
+            bills,
+            attempts,
+            engineRuns,
+            serviceRuns,
+            true);
+    return PromiseChecker.check(o).stream().map(Violation::promise).distinct().toList();
+  }
+
+  private static Attempt attempt(String id, boolean service, boolean repeatable, Outcome outcome) {
+    return new Attempt(
+        new RequestKey("acc", id), "srv", "text", service, repeatable, 1.0, 10, outcome);
+  }
+
+  private static EngineRun run(String id, String reservation, long tokens) {
+    DispatchMetadata m =
+        new DispatchMetadata(
+            "acc", id, "b", "holder", "srv", reservation, 1.0, "site", "f", 10, 1_000, "m");
+    return new EngineRun("e", "s-" + id, m, 15, 10, tokens - 10, UsageRecord.State.FINISHED);
+  }
+
+  private static Bill bill(String id, String reservation, long tokens) {
+    return new Bill(
+        "acc",
+        id,
+        "b",
+        "holder",
+        "srv",
+        reservation,
+        "m",
+        10,
+        tokens - 10,
+        1.0,
+        "site",
+        "f",
+        10,
+        50,
+        0);
+  }
+}
