Add budget allotments, billing and claims

Cause: requests need reserved tokens, bills and claims before they can be served. Change: holder ledger and bill batches in core; AllotmentService, BillingService, ClaimService, a write batcher and a backoff in coordination.

--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/ReserveCall.java
@@ -0,0 +1,22 @@
+package org.hibiscusreel.coordination.budget;
+
+import org.hibiscusreel.core.budget.OpenReservationEntry;
+import org.hibiscusreel.core.budget.Reservation;
+
+/** A reservation that a server asks a holder for. */
+record ReserveCall(
+    String budget,
+    String account,
+    String requestId,
+    String reservationId,
+    long tokens,
+    String server) {
+
+  OpenReservationEntry toEntry() {
+    return new OpenReservationEntry(reservationId, tokens, server, requestId);
+  }
+
+  ReservationResult.Granted toGranted(String holder) {
+    return new ReservationResult.Granted(new Reservation(reservationId, budget, holder, tokens));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -0,0 +1,215 @@
+package org.hibiscusreel.coordination.ledger;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.hibiscusreel.coordination.budget.BudgetReservations;
+import org.hibiscusreel.coordination.platform.Backoff;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
+import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.budget.Reservation;
+import org.hibiscusreel.core.ledger.Bill;
+import org.hibiscusreel.core.ledger.BillBatch;
+import org.hibiscusreel.core.ledger.PendingBill;
+
+/** Buffers bills and flushes them to the platform in batches, one transaction at a time. */
+public final class BillingService implements Billing {
+
+  private static final long FLUSH_INTERVAL_MILLIS = 5_000;
+  private static final int FLUSH_ROWS = TableService.MAX_ROWS;
+  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long MAX_RETRY_MILLIS = 10_000;
+
+  /** Longest time that a stop waits for the platform. */
+  private static final long STOP_TIMEOUT_MILLIS = 10_000;
+
+  private final Scheduler scheduler;
+  private final BudgetReservations reservations;
+  private final EventRecorder events;
+  private final int maxBufferedBills;
+  private final BillWriter writer;
+  private final Backoff backoff;
+
+  /** Waiting bills by reservation, oldest first. */
+  private final Map<String, PendingBill> pending = new LinkedHashMap<>();
+
+  private final Map<String, Reservation> covers = new LinkedHashMap<>();
+  private final List<CompletableFuture<Void>> stops = new ArrayList<>();
+  private Cancellable timer = () -> {};
+  private int acquired;
+  private int failures;
+  private boolean isRunning;
+  private boolean isFlushing;
+  private boolean isRetrying;
+
+  /**
+   * Creates the service.
+   *
+   * @param scheduler time and delayed tasks
+   * @param table the platform's table service
+   * @param reservations closes the reservations of bills
+   * @param events records the time line
+   * @param random source of random bits
+   * @param maxBufferedBills largest number of bills that wait for the platform, positive
+   */
+  public BillingService(
+      Scheduler scheduler,
+      TableService table,
+      BudgetReservations reservations,
+      EventRecorder events,
+      LongSupplier random,
+      int maxBufferedBills) {
+    if (maxBufferedBills <= 0) {
+      throw new IllegalArgumentException(
+          "maxBufferedBills must be positive, but is " + maxBufferedBills);
+    }
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.reservations = Objects.requireNonNull(reservations, "reservations");
+    this.events = Objects.requireNonNull(events, "events");
+    this.maxBufferedBills = maxBufferedBills;
+    this.writer = new BillWriter(table);
+    this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
+  }
+
+  /** Starts the periodic flush. */
+  public void start() {
+    isRunning = true;
+    timer = scheduler.schedule(FLUSH_INTERVAL_MILLIS, this::tick);
+  }
+
+  private void tick() {
+    flush();
+    if (isRunning) {
+      start();
+    }
+  }
+
+  /**
+   * Flushes the buffer and ends the periodic flush.
+   *
+   * @return completes when the buffer is empty, or after ten seconds if the platform does not take
+   *     the bills
+   */
+  public CompletableFuture<Void> stop() {
+    isRunning = false;
+    timer.cancel();
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    stops.add(stopped);
+    scheduler.schedule(STOP_TIMEOUT_MILLIS, () -> stopped.complete(null));
+    flush();
+    completeStops();
+    return stopped;
+  }
+
+  /**
+   * Returns the number of bills that wait for the platform.
+   *
+   * @return bills, not negative
+   */
+  public int pending() {
+    return pending.size();
+  }
+
+  @Override
+  public boolean hasRoom() {
+    return acquired + pending.size() < maxBufferedBills;
+  }
+
+  @Override
+  public boolean tryAcquire() {
+    if (!hasRoom()) {
+      return false;
+    }
+    acquired++;
+    return true;
+  }
+
+  @Override
+  public void release() {
+    acquired = Math.max(0, acquired - 1);
+  }
+
+  @Override
+  public void record(Bill bill, Reservation reservation) {
+    Objects.requireNonNull(bill, "bill");
+    Objects.requireNonNull(reservation, "reservation");
+    release();
+    if (pending.putIfAbsent(bill.reservationId(), PendingBill.of(bill)) != null) {
+      return;
+    }
+    covers.put(bill.reservationId(), reservation);
+    reservations.trim(reservation, bill.tokens());
+    if (pending.size() >= FLUSH_ROWS || !isRunning) {
+      flush();
+    }
+  }
+
+  private void flush() {
+    if (isFlushing || isRetrying || pending.isEmpty()) {
+      return;
+    }
+    isFlushing = true;
+    BillBatch batch = BillBatch.select(pending.values(), FLUSH_ROWS);
+    FutureCallbacks.onValue(writer.write(batch), attempt -> complete(batch, attempt));
+  }
+
+  private void complete(BillBatch batch, BillWriter.Attempt attempt) {
+    isFlushing = false;
+    attempt.outcomes().forEach(this::settle);
+    if (!attempt.outcomes().isEmpty()) {
+      String detail = "resolved=" + attempt.outcomes().size() + " waiting=" + pending.size();
+      events.record("bills_flushed", detail);
+    }
+    boolean isProgress = !attempt.outcomes().isEmpty();
+    failures = isProgress ? 0 : failures + 1;
+    if (!attempt.failure().isEmpty()) {
+      events.record("flush_failed", "bills=" + batch.bills().size() + " " + attempt.failure());
+    }
+    if (pending.isEmpty()) {
+      completeStops();
+    } else if (!isProgress) {
+      isRetrying = true;
+      scheduler.schedule(backoff.delayMillis(failures), this::retry);
+    } else if (!isRunning || isPartial(batch, attempt) || pending.size() >= FLUSH_ROWS) {
+      flush();
+    }
+  }
+
+  private static boolean isPartial(BillBatch batch, BillWriter.Attempt attempt) {
+    return attempt.outcomes().size() < batch.bills().size();
+  }
+
+  private void retry() {
+    isRetrying = false;
+    flush();
+  }
+
+  private void settle(BillWriter.Outcome outcome) {
+    Bill bill = outcome.pending().bill();
+    String id = bill.reservationId();
+    if (outcome.verdict() == PendingBill.Verdict.OTHER_REQUEST) {
+      pending.put(id, outcome.pending().withFingerprintKey());
+      return;
+    }
+    pending.remove(id);
+    boolean isWritten = outcome.verdict() == PendingBill.Verdict.WRITTEN;
+    reservations.close(covers.remove(id), isWritten ? bill.tokens() : 0);
+    String kind = isWritten ? "bill_written" : "bill_duplicate";
+    String detail = "tokens=" + bill.tokens() + " key=" + outcome.pending().billedId();
+    events.record(kind, bill.account(), bill.requestId(), bill.budget(), "", detail);
+  }
+
+  private void completeStops() {
+    if (pending.isEmpty()) {
+      stops.forEach(s -> s.complete(null));
+      stops.clear();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/budget/BudgetLedger.java
@@ -0,0 +1,314 @@
+package org.hibiscusreel.core.budget;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * What one holder has of one budget. {@code drawn} is always at least the sum of returned,
+ * withheld, spent and reserved tokens, unless a server reports more tokens than it had reserved.
+ */
+public final class BudgetLedger {
+
+  /** After this time without a reservation, the holder keeps nothing in advance. */
+  private static final long IDLE_MILLIS = 600_000;
+
+  private final String budget;
+  private final Map<String, OpenReservationEntry> open = new LinkedHashMap<>();
+  private final DemandForecast forecast;
+  private String account;
+  private long drawn;
+  private long returned;
+  private long withheld;
+  private long spent;
+  private long reserved;
+  private long worstCase;
+  private long usedAtMillis;
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param budget identifier of the budget
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public BudgetLedger(String budget, long nowMillis) {
+    this.budget = Objects.requireNonNull(budget, "budget");
+    this.forecast = new DemandForecast(nowMillis);
+    this.account = "";
+    this.usedAtMillis = nowMillis;
+  }
+
+  /**
+   * Restores a ledger that another holder handed over.
+   *
+   * @param entry the entry
+   * @param nowMillis monotonic time in milliseconds
+   * @return the ledger
+   */
+  public static BudgetLedger restore(HandOverEntry entry, long nowMillis) {
+    BudgetLedger ledger = new BudgetLedger(entry.budget(), nowMillis);
+    ledger.account = entry.account();
+    ledger.drawn = entry.drawn();
+    ledger.returned = entry.returned();
+    ledger.spent = entry.spent();
+    for (OpenReservationEntry e : entry.open()) {
+      ledger.open.put(e.id(), e);
+      ledger.reserved += e.tokens();
+    }
+    return ledger;
+  }
+
+  /**
+   * Returns the entry to hand over. Tokens whose return is in doubt count as returned.
+   *
+   * @return the entry
+   */
+  public HandOverEntry toHandOver() {
+    return new HandOverEntry(
+        budget, account, drawn, spent, returned + withheld, List.copyOf(open.values()));
+  }
+
+  /**
+   * Returns the budget.
+   *
+   * @return its identifier
+   */
+  public String budget() {
+    return budget;
+  }
+
+  /**
+   * Returns the client account that owns the budget.
+   *
+   * @return the account, empty until known
+   */
+  public String account() {
+    return account;
+  }
+
+  /**
+   * Sets the client account that owns the budget.
+   *
+   * @param account the account
+   */
+  public void setAccount(String account) {
+    this.account = Objects.requireNonNull(account, "account");
+  }
+
+  /**
+   * Returns the tokens ever drawn.
+   *
+   * @return tokens
+   */
+  public long drawn() {
+    return drawn;
+  }
+
+  /**
+   * Returns the tokens returned to the platform.
+   *
+   * @return tokens
+   */
+  public long returned() {
+    return returned;
+  }
+
+  /**
+   * Returns the tokens whose return to the platform is not confirmed yet.
+   *
+   * @return tokens
+   */
+  public long withheld() {
+    return withheld;
+  }
+
+  /**
+   * Returns the tokens of closed reservations.
+   *
+   * @return tokens
+   */
+  public long spent() {
+    return spent;
+  }
+
+  /**
+   * Returns the tokens that can be reserved.
+   *
+   * @return tokens; negative if a server used more than it had reserved
+   */
+  public long available() {
+    return drawn - returned - withheld - spent - reserved;
+  }
+
+  /**
+   * Returns the open reservations.
+   *
+   * @return an unmodifiable view, oldest first
+   */
+  public Collection<OpenReservationEntry> open() {
+    return Collections.unmodifiableCollection(open.values());
+  }
+
+  /**
+   * Returns an open reservation.
+   *
+   * @param id identifier of the reservation
+   * @return the reservation, or null if it is not open
+   */
+  public OpenReservationEntry find(String id) {
+    return open.get(id);
+  }
+
+  /**
+   * Reserves tokens. A repeated call for an open reservation has no effect.
+   *
+   * @param entry the reservation
+   * @param nowMillis monotonic time in milliseconds
+   * @return false if too little is available
+   */
+  public boolean grant(OpenReservationEntry entry, long nowMillis) {
+    if (open.containsKey(entry.id())) {
+      return true;
+    }
+    noteDemand(entry.tokens(), nowMillis);
+    if (entry.tokens() > available()) {
+      return false;
+    }
+    open.put(entry.id(), entry);
+    reserved += entry.tokens();
+    return true;
+  }
+
+  /**
+   * Notes the size of a reservation that was asked for.
+   *
+   * @param tokens tokens asked for
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void noteDemand(long tokens, long nowMillis) {
+    worstCase = isIdle(nowMillis) ? tokens : Math.max(worstCase, tokens);
+    usedAtMillis = nowMillis;
+  }
+
+  /**
+   * Reduces an open reservation to the tokens used.
+   *
+   * @param id identifier of the reservation
+   * @param tokens tokens used; a value above those reserved has no effect
+   */
+  public void trim(String id, long tokens) {
+    OpenReservationEntry e = open.get(id);
+    if (e != null && tokens < e.tokens()) {
+      reserved -= e.tokens() - tokens;
+      open.put(id, new OpenReservationEntry(id, tokens, e.server(), e.requestId()));
+    }
+  }
+
+  /**
+   * Closes an open reservation.
+   *
+   * @param id identifier of the reservation
+   * @param tokens tokens billed
+   * @param nowMillis monotonic time in milliseconds
+   * @return false if it was not open
+   */
+  public boolean close(String id, long tokens, long nowMillis) {
+    OpenReservationEntry e = open.remove(id);
+    if (e == null) {
+      return false;
+    }
+    reserved -= e.tokens();
+    spent += tokens;
+    forecast.add(tokens, nowMillis);
+    return true;
+  }
+
+  /**
+   * Takes tokens out of those available, to return them to the platform.
+   *
+   * @param tokens tokens wanted
+   * @return tokens taken, at most those available
+   */
+  public long withhold(long tokens) {
+    long taken = Math.max(0, Math.min(tokens, available()));
+    withheld += taken;
+    return taken;
+  }
+
+  /** Makes withheld tokens available again, after their return was certainly not applied. */
+  public void cancelReturn() {
+    withheld = 0;
+  }
+
+  /**
+   * Takes over the platform's row after a write of this holder is known to have taken effect. No
+   * earlier write can take effect any more, because the version of the row has advanced.
+   *
+   * @param row the row
+   */
+  public void synchronize(AllotmentRow row) {
+    drawn = row.drawn();
+    returned = row.returned();
+    withheld = 0;
+  }
+
+  /**
+   * Takes over the platform's row when it is first read after a hand-over. Tokens that the row does
+   * not show as returned stay withheld, because the return may still take effect.
+   *
+   * @param row the row
+   */
+  public void synchronizeAfterHandOver(AllotmentRow row) {
+    long doubtful = Math.max(0, returned - row.returned());
+    drawn = row.drawn();
+    returned = row.returned();
+    withheld = doubtful;
+  }
+
+  /**
+   * Takes over the platform's row of an allotment that this holder no longer remembers. It forgets
+   * an allotment only when nothing is left of it, so all tokens not returned count as spent.
+   *
+   * @param row the row
+   */
+  public void synchronizeForgotten(AllotmentRow row) {
+    synchronize(row);
+    spent = row.drawn() - row.returned();
+  }
+
+  /**
+   * Returns the target of the allotment.
+   *
+   * @param lean leaning of the budget
+   * @param nowMillis monotonic time in milliseconds
+   * @return the target in tokens
+   */
+  public long target(Lean lean, long nowMillis) {
+    long worst = isIdle(nowMillis) ? 0 : worstCase;
+    return AllotmentSizing.target(forecast.tokensPerMilli(nowMillis), lean, worst);
+  }
+
+  /**
+   * Returns the tokens that the forecast expects to be used in a time.
+   *
+   * @param durationMillis length of the time in milliseconds
+   * @param nowMillis monotonic time in milliseconds
+   * @return tokens
+   */
+  public long expectedDemand(long durationMillis, long nowMillis) {
+    return (long) Math.ceil(forecast.tokensPerMilli(nowMillis) * durationMillis);
+  }
+
+  /**
+   * Tells whether nothing was asked for in the last ten minutes.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true if the budget is idle
+   */
+  public boolean isIdle(long nowMillis) {
+    return nowMillis - usedAtMillis > IDLE_MILLIS;
+  }
+}
