--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/config/SocketAddresses.java
@@ -0,0 +1,72 @@
+package org.hibiscusreel.core.config;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Checks addresses given as IP number and port. */
+public final class SocketAddresses {
+
+  private static final Pattern V4 = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]+)");
+  private static final Pattern V6 = Pattern.compile("\\[([0-9A-Fa-f:]+)]:([0-9]+)");
+  private static final int MAX_PORT = 65_535;
+  private static final int MAX_PORT_DIGITS = 5;
+  private static final int V6_GROUPS = 8;
+
+  private SocketAddresses() {}
+
+  /**
+   * Tells whether a text is an IP number and a port, such as {@code 10.0.0.1:80} or {@code
+   * [::1]:80}. Host names are not accepted, since nothing may depend on a resolver.
+   *
+   * @param text the text
+   * @return true if the number and the port, 1 to 65535, are valid
+   */
+  public static boolean isIpAndPort(String text) {
+    Matcher v4 = V4.matcher(text);
+    if (v4.matches()) {
+      return isV4(v4.group(1)) && isPort(v4.group(2));
+    }
+    Matcher v6 = V6.matcher(text);
+    return v6.matches() && isV6(v6.group(1)) && isPort(v6.group(2));
+  }
+
+  private static boolean isV4(String number) {
+    for (String part : number.split("\\.", -1)) {
+      if (Integer.parseInt(part) > 255) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isV6(String number) {
+    int gap = number.indexOf("::");
+    if (gap < 0) {
+      return groups(number) == V6_GROUPS;
+    }
+    String tail = number.substring(gap + 2);
+    int before = gap == 0 ? 0 : groups(number.substring(0, gap));
+    int after = tail.isEmpty() ? 0 : groups(tail);
+    return before >= 0 && after >= 0 && before + after < V6_GROUPS;
+  }
+
+  /** Returns the number of groups, or a large negative number if one is malformed. */
+  private static int groups(String part) {
+    int n = 0;
+    for (String group : part.split(":", -1)) {
+      if (group.isEmpty() || group.length() > 4) {
+        return -V6_GROUPS;
+      }
+      n++;
+    }
+    return n;
+  }
+
+  private static boolean isPort(String digits) {
+    if (digits.length() > MAX_PORT_DIGITS) {
+      return false;
+    }
+    int port = Integer.parseInt(digits);
+    return port >= 1 && port <= MAX_PORT;
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Changes of budget rows by operators. */
+package org.hibiscusreel.ctl.budget;
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** Subcommands of the operator program. */
+package org.hibiscusreel.ctl.command;
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpHostList.java
@@ -0,0 +1,69 @@
+package org.hibiscusreel.ctl.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.port.HostList;
+
+/** The platform's list of hosts over HTTP. */
+public final class HttpHostList implements HostList {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+
+  private final HttpSender sender;
+  private final URI uri;
+
+  /**
+   * Creates a client.
+   *
+   * @param sender sends the requests
+   * @param baseUrl base URL of the list without a trailing slash
+   * @throws NullPointerException if an argument is null
+   */
+  public HttpHostList(HttpSender sender, String baseUrl) {
+    this.sender = Objects.requireNonNull(sender, "sender");
+    this.uri = URI.create(Objects.requireNonNull(baseUrl, "baseUrl") + "/v1/hosts");
+  }
+
+  @Override
+  public CompletableFuture<Optional<Listing>> fetch() {
+    return sender.read("GET", uri, new byte[0]).thenApply(HttpHostList::toListing);
+  }
+
+  private static Optional<Listing> toListing(HttpReply reply) {
+    if (!(reply instanceof HttpReply.Response response) || response.status() != OK) {
+      return Optional.empty();
+    }
+    try {
+      JsonNode root = MAPPER.readTree(response.text());
+      List<Host> hosts = new ArrayList<>();
+      for (JsonNode node : root.path("hosts")) {
+        hosts.add(
+            new Host(
+                node.path("host").asText(),
+                node.path("failure_domain").asText(),
+                node.path("peer_address").asText(),
+                state(node)));
+      }
+      List<ListedUpstream> upstreams = new ArrayList<>();
+      for (JsonNode node : root.path("upstreams")) {
+        upstreams.add(new ListedUpstream(node.path("name").asText(), state(node)));
+      }
+      return Optional.of(new Listing(hosts, upstreams));
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static State state(JsonNode node) {
+    return State.valueOf(node.path("state").asText().toUpperCase(Locale.ROOT));
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpObjectStore.java
@@ -0,0 +1,90 @@
+package org.hibiscusreel.ctl.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.port.ObjectStore;
+
+/** The platform's object store over HTTP. */
+public final class HttpObjectStore implements ObjectStore {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final byte[] NOTHING = new byte[0];
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+
+  private final HttpSender sender;
+  private final String base;
+
+  /**
+   * Creates a client.
+   *
+   * @param sender sends the requests
+   * @param baseUrl base URL of the store without a trailing slash
+   * @throws NullPointerException if an argument is null
+   */
+  public HttpObjectStore(HttpSender sender, String baseUrl) {
+    this.sender = Objects.requireNonNull(sender, "sender");
+    this.base = Objects.requireNonNull(baseUrl, "baseUrl");
+  }
+
+  @Override
+  public CompletableFuture<Boolean> put(String key, byte[] body) {
+    return sender
+        .send("PUT", uri(key), body)
+        .thenApply(reply -> reply instanceof HttpReply.Response r && r.status() / 100 == 2);
+  }
+
+  @Override
+  public CompletableFuture<GetResult> get(String key) {
+    return sender
+        .read("GET", uri(key), NOTHING)
+        .thenApply(
+            reply -> {
+              if (reply instanceof HttpReply.Response r && r.status() == OK) {
+                return new GetResult.Found(r.body());
+              }
+              if (reply instanceof HttpReply.Response r && r.status() == NOT_FOUND) {
+                return new GetResult.Missing();
+              }
+              return new GetResult.Failed(reply.describe());
+            });
+  }
+
+  @Override
+  public CompletableFuture<ListResult> list(String prefix) {
+    URI uri =
+        URI.create(
+            base + "/v1/objects?prefix=" + URLEncoder.encode(prefix, StandardCharsets.UTF_8));
+    return sender.read("GET", uri, NOTHING).thenApply(HttpObjectStore::toListResult);
+  }
+
+  private URI uri(String key) {
+    String path =
+        URLEncoder.encode(key, StandardCharsets.UTF_8).replace("%2F", "/").replace("+", "%20");
+    return URI.create(base + "/v1/objects/" + path);
+  }
+
+  private static ListResult toListResult(HttpReply reply) {
+    if (!(reply instanceof HttpReply.Response response) || response.status() != OK) {
+      return new ListResult.Failed(reply.describe());
+    }
+    try {
+      JsonNode root = MAPPER.readTree(response.text());
+      List<String> keys = new ArrayList<>();
+      for (JsonNode node : root.isArray() ? root : root.path("keys")) {
+        keys.add(node.isTextual() ? node.asText() : node.path("key").asText());
+      }
+      return new ListResult.Keys(keys);
+    } catch (JsonProcessingException e) {
+      return new ListResult.Failed("malformed response: " + e.getOriginalMessage());
+    }
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform over HTTP. */
+package org.hibiscusreel.ctl.platform;
