--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/Admission.java
@@ -0,0 +1,116 @@
+package org.hibiscusreel.coordination.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hibiscusreel.core.admission.Counters;
+import org.hibiscusreel.core.admission.RateLimiter;
+import org.hibiscusreel.core.config.ClientAccount;
+import org.hibiscusreel.core.config.Configuration;
+import org.hibiscusreel.core.config.ModelSettings;
+import org.hibiscusreel.core.request.Problem;
+import org.hibiscusreel.core.request.ProblemCode;
+
+/** Checks before anything is reserved. Every refusal here means that nothing ran. */
+final class Admission {
+  static final long RETRY_MILLIS = 1_000;
+  static final String UNDECIDED = "the cause of recent crashes is examined";
+
+  private final RequestContext context;
+  private final Counters accounts = new Counters();
+  private final Counters models = new Counters();
+  private final Map<String, RateLimiter> rates = new HashMap<>();
+  private boolean accepting = true;
+
+  Admission(RequestContext context) {
+    this.context = context;
+  }
+
+  void stopAccepting() {
+    accepting = false;
+  }
+
+  /** Returns why no request can be taken, or empty. */
+  Optional<Problem> checkOpen() {
+    if (!accepting) {
+      return refuse(ProblemCode.SHUTTING_DOWN, "another daemon can serve the request", 0);
+    }
+    if (context.dependencies().configuration().current().isEmpty()) {
+      return refuse(ProblemCode.NO_CONFIGURATION, "", RETRY_MILLIS);
+    }
+    return Optional.empty();
+  }
+
+  /** Takes the limits and the room for the bill, or returns why the request is refused. */
+  Optional<Problem> admit(Configuration configuration, Ticket.Terms terms) {
+    ClientAccount account = configuration.accounts().get(terms.key().account());
+    if (account == null) {
+      return refuse(ProblemCode.INVALID_KEY, "the client account does not exist", 0);
+    }
+    if (!account.budgets().contains(terms.budget())) {
+      return refuse(ProblemCode.UNKNOWN_BUDGET, terms.budget(), 0);
+    }
+    Optional<Problem> crash = checkCrash(terms.fingerprint());
+    if (crash.isPresent()) {
+      return crash;
+    }
+    Optional<Problem> limit = takeLimits(account, configuration.models().get(terms.model()), terms);
+    if (limit.isPresent()) {
+      return limit;
+    }
+    if (!context.billing().tryAcquire()) {
+      release(terms);
+      return refuse(ProblemCode.BILLING_BACKLOG, "", RETRY_MILLIS);
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Problem> checkCrash(String fingerprint) {
+    return switch (context.crashes().judge(fingerprint)) {
+      case BLOCKED -> refuse(ProblemCode.REQUEST_CRASHES_UPSTREAMS, "", 0);
+      case UNDECIDED -> refuse(ProblemCode.OVERLOADED, UNDECIDED, RETRY_MILLIS);
+      case CLEAR, SUSPECT -> Optional.empty();
+    };
+  }
+
+  private Optional<Problem> takeLimits(
+      ClientAccount account, ModelSettings model, Ticket.Terms terms) {
+    if (!accounts.tryAcquire(account.id(), account.maxConcurrent())) {
+      return refuse(ProblemCode.RATE_LIMITED, "too many requests in progress", RETRY_MILLIS);
+    }
+    if (!models.tryAcquire(terms.model(), model == null ? 0 : model.maxConcurrent())) {
+      accounts.release(account.id());
+      return refuse(
+          ProblemCode.OVERLOADED, "the model is at its limit", context.slots().retryAfterMillis());
+    }
+    long wait = waitForRate(account);
+    if (wait > 0) {
+      release(terms);
+      return refuse(ProblemCode.RATE_LIMITED, "too many requests a second", wait);
+    }
+    return Optional.empty();
+  }
+
+  private long waitForRate(ClientAccount account) {
+    if (account.requestsPerSecond() <= 0) {
+      return 0;
+    }
+    return rates
+        .computeIfAbsent(account.id(), k -> new RateLimiter())
+        .tryAcquire(account.requestsPerSecond(), context.scheduler().nowMillis());
+  }
+
+  void onConfiguration(Configuration configuration) {
+    rates.keySet().retainAll(configuration.accounts().keySet());
+  }
+
+  void release(Ticket.Terms terms) {
+    accounts.release(terms.key().account());
+    models.release(terms.model());
+  }
+
+  private static Optional<Problem> refuse(ProblemCode code, String detail, long retryMillis) {
+    return Optional.of(
+        retryMillis > 0 ? Problem.notRun(code, detail, retryMillis) : Problem.notRun(code, detail));
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/AnswerListener.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/AnswerListener.java
@@ -8,6 +8,16 @@
  */
 public interface AnswerListener {
 
+  /**
+   * Tells whether the caller takes the answer only as a whole. Its pieces are then held back until
+   * the answer is whole, so that another engine can start anew after a failure.
+   *
+   * @return false if pieces are passed on as they come
+   */
+  default boolean wantsWholeAnswer() {
+    return false;
+  }
+
   /**
    * Receives the next piece of the answer; pieces come in order, each once.
    *
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CancelledUsage.java
@@ -0,0 +1,81 @@
+package org.hibiscusreel.coordination.request;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.port.EngineClient;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.UsageRecord;
+import org.hibiscusreel.core.config.Upstream;
+
+/** Finds what engines generated for calls that their callers gave up. */
+final class CancelledUsage {
+  private static final long[] RETRY_MILLIS = {100, 500, 2_000, 5_000};
+  private static final int MAX_RECORDS = 1_000;
+
+  private final Scheduler scheduler;
+  private final EngineClient engines;
+  private final String server;
+  private final Map<String, Long> cursors = new HashMap<>();
+  private final Map<String, UsageRecord> found =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, UsageRecord> eldest) {
+          return size() > MAX_RECORDS;
+        }
+      };
+
+  CancelledUsage(RequestDependencies dependencies) {
+    this.scheduler = dependencies.ports().scheduler();
+    this.engines = dependencies.ports().engines();
+    this.server = dependencies.membership().self().incarnation();
+  }
+
+  /** Passes the record of an ended generation on, or empty if the engine does not tell in time. */
+  void find(Upstream engine, String streamId, Consumer<Optional<UsageRecord>> consumer) {
+    attempt(engine, streamId, 0, consumer);
+  }
+
+  private void attempt(
+      Upstream engine, String streamId, int n, Consumer<Optional<UsageRecord>> consumer) {
+    if (n == RETRY_MILLIS.length) {
+      consumer.accept(Optional.empty());
+      return;
+    }
+    scheduler.schedule(
+        RETRY_MILLIS[n],
+        () ->
+            Futures.accept(
+                engines.usage(engine, server, cursors.getOrDefault(engine.name(), 0L)),
+                records -> {
+                  records.ifPresent(r -> keep(engine.name(), r));
+                  UsageRecord record = found.remove(streamId);
+                  if (record != null) {
+                    consumer.accept(Optional.of(record));
+                  } else {
+                    attempt(engine, streamId, n + 1, consumer);
+                  }
+                }));
+  }
+
+  /** Keeps ended generations; the cursor stays before the first one that still runs. */
+  private void keep(String engine, List<UsageRecord> records) {
+    boolean passed = true;
+    for (UsageRecord r : records) {
+      boolean running = r.state() == UsageRecord.State.RUNNING;
+      passed &= !running;
+      if (!running) {
+        found.put(r.streamId(), r);
+      }
+      if (passed) {
+        cursors.merge(engine, r.seq(), Math::max);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
@@ -0,0 +1,140 @@
+package org.hibiscusreel.coordination.request;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.hibiscusreel.coordination.membership.MemberInfo;
+import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.port.PeerTransport;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.crash.CrashFingerprints;
+import org.hibiscusreel.core.crash.CrashFingerprints.Sighting;
+import org.hibiscusreel.core.crash.CrashFingerprints.Verdict;
+import org.hibiscusreel.wire.CrashEntry;
+import org.hibiscusreel.wire.CrashReport;
+import org.hibiscusreel.wire.CrashReportResponse;
+
+/** Detects crashes of engines and shares the fingerprints with the failure domain. */
+final class CrashMonitor {
+  private static final long REPORT_TIMEOUT_MILLIS = 1_000;
+
+  /** Engines that break within this time are taken for a failure of the link. */
+  private static final long LINK_FAILURE_MILLIS = 500;
+
+  /** Streams of one engine that break within this time were executed together. */
+  private static final long SAME_BREAK_MILLIS = 5_000;
+
+  private static final long MAX_REPORT_AGE_MILLIS = 3_000;
+  private static final int MAX_ENTRIES = 1_000;
+  private static final Pattern HEX = Pattern.compile("([0-9a-f]{2})*");
+
+  /** State of an engine when its first stream broke. */
+  private static final class Break {
+    final long at;
+    final Set<String> cohort;
+    final boolean alone;
+    boolean reported;
+
+    Break(long at, Set<String> cohort, boolean alone) {
+      this.at = at;
+      this.cohort = cohort;
+      this.alone = alone;
+    }
+  }
+
+  private final CrashFingerprints fingerprints = new CrashFingerprints();
+  private final Map<String, Break> breaks = new HashMap<>();
+  private final Scheduler scheduler;
+  private final PeerTransport peers;
+  private final MembershipView membership;
+  private final EventRecorder recorder;
+
+  CrashMonitor(RequestDependencies dependencies) {
+    this.scheduler = dependencies.ports().scheduler();
+    this.peers = dependencies.ports().peers();
+    this.membership = dependencies.membership();
+    this.recorder = dependencies.recorder();
+  }
+
+  Verdict judge(String fingerprint) {
+    return fingerprints.judge(fingerprint, scheduler.wallMillis());
+  }
+
+  void onCompleted(String fingerprint) {
+    fingerprints.onCompleted(fingerprint, scheduler.wallMillis());
+  }
+
+  /** A stream broke; called before the request is taken off the engine. */
+  void onBroken(UpstreamState engine) {
+    long now = scheduler.nowMillis();
+    Break known = breaks.get(engine.upstream().name());
+    if (known != null && now - known.at < SAME_BREAK_MILLIS) {
+      return;
+    }
+    boolean alone = engine.inFlight() == 1 && engine.load().isAtMost(1, now, MAX_REPORT_AGE_MILLIS);
+    breaks.put(engine.upstream().name(), new Break(now, engine.cohort(), alone));
+  }
+
+  /** The streams that broke can't be resumed: the engine lost them, or can't be reached. */
+  void onNotResumable(UpstreamState engine) {
+    String name = engine.upstream().name();
+    Break b = breaks.get(name);
+    if (b == null || b.reported || isLinkFailure(name, b)) {
+      return;
+    }
+    b.reported = true;
+    recorder.record("upstream_crashed", "", "", "", name, "executing " + b.cohort.size());
+    report(fingerprints.onCrash(name, b.cohort, b.alone, scheduler.wallMillis()));
+  }
+
+  private boolean isLinkFailure(String name, Break b) {
+    return breaks.entrySet().stream()
+        .anyMatch(
+            e ->
+                !e.getKey().equals(name) && Math.abs(e.getValue().at - b.at) < LINK_FAILURE_MILLIS);
+  }
+
+  private void report(List<Sighting> sightings) {
+    CrashReport.Builder b = CrashReport.newBuilder().setStamp(recorder.stamp());
+    for (Sighting s : sightings) {
+      if (!HEX.matcher(s.fingerprint()).matches()) {
+        continue;
+      }
+      b.addEntries(
+          CrashEntry.newBuilder()
+              .setFingerprint(ByteString.copyFrom(HexFormat.of().parseHex(s.fingerprint())))
+              .setUpstream(s.upstream())
+              .setObservedAtMillis(s.atMillis()));
+    }
+    CrashReport report = b.build();
+    MemberInfo self = membership.self();
+    for (MemberInfo m : membership.alive()) {
+      boolean other = !m.incarnation().equals(self.incarnation());
+      if (other && m.failureDomain().equals(self.failureDomain())) {
+        Futures.accept(
+            peers.reportCrashes(m.peerAddress(), report, REPORT_TIMEOUT_MILLIS),
+            r -> r.ifPresent(x -> recorder.observe(x.getStamp())));
+      }
+    }
+  }
+
+  CrashReportResponse onReport(CrashReport report) {
+    recorder.observe(report.getStamp());
+    List<Sighting> sightings = new ArrayList<>();
+    for (CrashEntry e : report.getEntriesList()) {
+      if (sightings.size() < MAX_ENTRIES) {
+        String hex = HexFormat.of().formatHex(e.getFingerprint().toByteArray());
+        sightings.add(new Sighting(hex, e.getUpstream(), e.getObservedAtMillis()));
+      }
+    }
+    fingerprints.onReport(sightings);
+    return CrashReportResponse.newBuilder().setStamp(recorder.stamp()).build();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/Reserving.java
@@ -0,0 +1,34 @@
+package org.hibiscusreel.coordination.request;
+
+import org.hibiscusreel.coordination.budget.ReservationResult;
+import org.hibiscusreel.core.request.Problem;
+import org.hibiscusreel.core.request.ProblemCode;
+
+/** Translates the outcome of a reservation for callers. */
+final class Reserving {
+  private static final long MAX_WAIT_MILLIS = 3_000;
+  private static final long MIN_WAIT_MILLIS = 50;
+  private static final long RETRY_MILLIS = 2_000;
+
+  private Reserving() {}
+
+  /** Returns how long a reservation may wait for the platform: half of the time that is left. */
+  static long waitMillis(Ticket ticket) {
+    return Math.max(MIN_WAIT_MILLIS, Math.min(MAX_WAIT_MILLIS, ticket.remainingMillis() / 2));
+  }
+
+  /** Returns the refusal for an outcome that granted nothing. */
+  static Problem toProblem(ReservationResult result) {
+    if (result instanceof ReservationResult.Exhausted e) {
+      return Problem.notRun(ProblemCode.BUDGET_EXHAUSTED, e.undrawn() + " tokens are undrawn");
+    }
+    if (result instanceof ReservationResult.Unavailable u) {
+      return Problem.notRun(ProblemCode.BUDGET_UNAVAILABLE, u.reason(), RETRY_MILLIS);
+    }
+    if (result instanceof ReservationResult.AboveBudget a) {
+      return Problem.notRun(
+          ProblemCode.TOKEN_LIMIT_ABOVE_BUDGET, a.granted() + " tokens were ever granted");
+    }
+    return Problem.notRun(ProblemCode.UNKNOWN_BUDGET, "");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/admission/Counters.java
@@ -0,0 +1,44 @@
+package org.hibiscusreel.core.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Requests in progress per name, with a limit. Names without requests take no memory. */
+public final class Counters {
+  private final Map<String, Integer> counts = new HashMap<>();
+
+  /**
+   * Counts a request if the limit allows it.
+   *
+   * @param name client account, model or upstream
+   * @param limit largest number in progress, 0 for no limit
+   * @return false if the limit is reached
+   */
+  public boolean tryAcquire(String name, int limit) {
+    int n = get(name);
+    if (limit > 0 && n >= limit) {
+      return false;
+    }
+    counts.put(name, n + 1);
+    return true;
+  }
+
+  /**
+   * Ends a request.
+   *
+   * @param name the name it was counted under
+   */
+  public void release(String name) {
+    counts.computeIfPresent(name, (k, n) -> n > 1 ? n - 1 : null);
+  }
+
+  /**
+   * Returns the number in progress.
+   *
+   * @param name the name
+   * @return 0 or more
+   */
+  public int get(String name) {
+    return counts.getOrDefault(name, 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Limits, and the queue of requests that wait for capacity. */
+package org.hibiscusreel.core.admission;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of a response from the chunks of its attempts. */
+package org.hibiscusreel.core.answer;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Failure detection and dissemination among the daemons, without I/O. */
+package org.hibiscusreel.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/retry/RetryBudget.java
@@ -0,0 +1,51 @@
+package org.hibiscusreel.core.retry;
+
+/**
+ * Limits retries to a share of the requests: each request adds a fraction of a token, each retry
+ * takes one. Not thread-safe.
+ */
+public final class RetryBudget {
+  /** Share of the requests that may be retried. */
+  public static final double DEFAULT_RATIO = 0.1;
+
+  /** Retries that may follow each other at once, so that a quiet daemon can still retry. */
+  public static final double DEFAULT_BURST = 10;
+
+  private final double ratio;
+  private final double burst;
+  private double tokens;
+
+  /**
+   * Creates a full budget.
+   *
+   * @param ratio tokens that a request adds, 0 to 1
+   * @param burst largest number of tokens, positive
+   * @throws IllegalArgumentException if an argument is out of range
+   */
+  public RetryBudget(double ratio, double burst) {
+    if (ratio < 0 || ratio > 1 || burst <= 0) {
+      throw new IllegalArgumentException("ratio must be 0 to 1 and burst positive");
+    }
+    this.ratio = ratio;
+    this.burst = burst;
+    this.tokens = burst;
+  }
+
+  /** Counts a first attempt. */
+  public void onRequest() {
+    tokens = Math.min(burst, tokens + ratio);
+  }
+
+  /**
+   * Takes a retry.
+   *
+   * @return false if the retry must not be made
+   */
+  public boolean tryRetry() {
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on retries. */
+package org.hibiscusreel.core.retry;
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of an upstream for a request. */
+package org.hibiscusreel.core.routing;
