--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -0,0 +1,182 @@
+package org.hibiscusreel.coordination.node;
+
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.config.ConfigurationView;
+import org.hibiscusreel.coordination.membership.MembershipService;
+import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.port.PeerHandler;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.request.DefaultRequestService;
+import org.hibiscusreel.coordination.request.RequestDependencies;
+import org.hibiscusreel.coordination.request.RequestService;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.membership.MemberStatus;
+import org.hibiscusreel.core.routing.LocalityPolicy;
+import org.hibiscusreel.core.timeline.HybridClock;
+
+/** All coordination services of one daemon, on one event loop. */
+public final class CoordinationNode {
+  private static final long DRAIN_POLL_MILLIS = 20;
+
+  private final NodeSettings settings;
+  private final Scheduler scheduler;
+  private final EventRecorder recorder;
+  private final MembershipService membership;
+  private final NodeServices services;
+  private final DefaultRequestService requests;
+  private final PeerHandler peerHandler;
+  private CompletableFuture<Void> stopping;
+  private boolean started;
+
+  /** Builds a node around the services that work with the platform. */
+  CoordinationNode(NodeSettings settings, NodePorts ports, NodeServices.Factory factory) {
+    this.settings = settings;
+    this.scheduler = ports.scheduler();
+    HybridClock clock = new HybridClock(scheduler::wallMillis);
+    this.recorder = new EventRecorder(clock, settings.self().incarnation(), ports.events());
+    this.membership = new MembershipService(settings, ports, recorder);
+    this.services = factory.create(settings, ports, recorder, membership);
+    this.requests =
+        new DefaultRequestService(
+            new RequestDependencies(
+                ports,
+                recorder,
+                services.configuration(),
+                membership,
+                services.budgets(),
+                services.billing(),
+                services.claims(),
+                new LocalityPolicy(),
+                membership::onLoadReport,
+                services.outcomes()));
+    this.peerHandler = new NodePeerHandler(membership, services, requests);
+  }
+
+  /**
+   * Starts the services. A second call has no effect.
+   *
+   * @return a future that completes when they run; whether requests are accepted is told by {@link
+   *     #isReady}
+   */
+  public CompletableFuture<Void> start() {
+    if (!started) {
+      started = true;
+      recorder.record("node_started", settings.self().host());
+      membership.setConfigurationVersion(services::configurationVersion);
+      membership.addVersionListener(services.versions());
+      services.configuration().addListener(membership::onConfiguration);
+      membership.start();
+      services.start();
+      requests.start();
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  /**
+   * Stops gracefully: refuses new requests, waits for those in progress up to the drain timeout,
+   * writes what is buffered, gives back the allotments, marks the incarnation closed and leaves the
+   * membership.
+   *
+   * @return a future that completes when the process can exit; the same for each call
+   */
+  public CompletableFuture<Void> stop() {
+    if (stopping == null) {
+      recorder.record("node_stopping", requests.inProgress() + " requests in progress");
+      requests.stopAccepting();
+      membership.leave();
+      stopping =
+          drained()
+              .thenCompose(done -> services.flush())
+              .thenCompose(done -> services.returnAllotments())
+              .thenCompose(done -> services.close())
+              .thenRun(this::stopped);
+    }
+    return stopping;
+  }
+
+  private CompletableFuture<Void> drained() {
+    CompletableFuture<Void> future = new CompletableFuture<>();
+    awaitDrained(scheduler.nowMillis() + settings.drainTimeoutMillis(), future);
+    return future;
+  }
+
+  private void awaitDrained(long until, CompletableFuture<Void> future) {
+    if (requests.inProgress() == 0 || scheduler.nowMillis() >= until) {
+      recorder.record("node_drained", requests.inProgress() + " requests in progress");
+      future.complete(null);
+    } else {
+      scheduler.schedule(DRAIN_POLL_MILLIS, () -> awaitDrained(until, future));
+    }
+  }
+
+  private void stopped() {
+    requests.stop();
+    membership.stop();
+    recorder.record("node_stopped", "");
+  }
+
+  /**
+   * Returns the service for requests of callers.
+   *
+   * @return the service
+   */
+  public RequestService requests() {
+    return requests;
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the view
+   */
+  public ConfigurationView configuration() {
+    return services.configuration();
+  }
+
+  /**
+   * Returns what is known of the other daemons.
+   *
+   * @return the view
+   */
+  public MembershipView membership() {
+    return membership;
+  }
+
+  /**
+   * Returns what answers the calls of other daemons.
+   *
+   * @return the handler
+   */
+  public PeerHandler peerHandler() {
+    return peerHandler;
+  }
+
+  /**
+   * Tells whether requests are accepted.
+   *
+   * @return false before a configuration is in force, and once the node is stopping
+   */
+  public boolean isReady() {
+    return started
+        && stopping == null
+        && services.isRegistered()
+        && services.configuration().current().isPresent();
+  }
+
+  /**
+   * Returns figures for metrics.
+   *
+   * @return the present figures
+   */
+  public NodeStatus status() {
+    return new NodeStatus(
+        requests.inProgress(),
+        requests.unresolved(),
+        services.configurationVersion(),
+        membership.alive().size(),
+        membership.count(MemberStatus.SUSPECT),
+        services.billsBuffered(),
+        services.tokensHeld(),
+        isReady());
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
@@ -0,0 +1,77 @@
+package org.hibiscusreel.coordination.node;
+
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.budget.BudgetReservations;
+import org.hibiscusreel.coordination.claim.Claims;
+import org.hibiscusreel.coordination.config.ConfigurationView;
+import org.hibiscusreel.coordination.ledger.Billing;
+import org.hibiscusreel.coordination.membership.MembershipService;
+import org.hibiscusreel.coordination.membership.PeerVersionListener;
+import org.hibiscusreel.coordination.request.OutcomeListener;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.wire.FetchConfigurationRequest;
+import org.hibiscusreel.wire.FetchConfigurationResponse;
+import org.hibiscusreel.wire.HandOverRequest;
+import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.ReleaseRequest;
+import org.hibiscusreel.wire.ReleaseResponse;
+import org.hibiscusreel.wire.ReserveRequest;
+import org.hibiscusreel.wire.ReserveResponse;
+import org.hibiscusreel.wire.SettleRequest;
+import org.hibiscusreel.wire.SettleResponse;
+
+/** The services of a node that work with the platform. */
+interface NodeServices {
+  /** Creates the services of a node. */
+  @FunctionalInterface
+  interface Factory {
+    NodeServices create(
+        NodeSettings settings,
+        NodePorts ports,
+        EventRecorder recorder,
+        MembershipService membership);
+  }
+
+  BudgetReservations budgets();
+
+  Billing billing();
+
+  Claims claims();
+
+  ConfigurationView configuration();
+
+  PeerVersionListener versions();
+
+  OutcomeListener outcomes();
+
+  long configurationVersion();
+
+  int billsBuffered();
+
+  long tokensHeld();
+
+  /** Tells whether the incarnation is registered, so that its reservations are accounted for. */
+  boolean isRegistered();
+
+  void start();
+
+  /** Writes what is buffered: bills, outcomes of claims, counters. */
+  CompletableFuture<Void> flush();
+
+  /** Gives back the allotments, or hands them over. */
+  CompletableFuture<Void> returnAllotments();
+
+  /** Marks the incarnation closed and stops following the configuration. */
+  CompletableFuture<Void> close();
+
+  CompletableFuture<ReserveResponse> reserve(ReserveRequest request);
+
+  CompletableFuture<SettleResponse> settle(SettleRequest request);
+
+  CompletableFuture<ReleaseResponse> release(ReleaseRequest request);
+
+  CompletableFuture<HandOverResponse> handOver(HandOverRequest request);
+
+  CompletableFuture<FetchConfigurationResponse> fetchConfiguration(
+      FetchConfigurationRequest request);
+}
