--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one daemon: a strict TOML file per host. */
+package org.hibiscusreel.daemon.settings;
