Add the HTTP adapters of the coordination ports

Cause: the coordination services need the platform, the engines and the plain services over HTTP. Conclusion: outcomes follow the result types of the ports.

--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpResult.java
@@ -0,0 +1,40 @@
+package org.hibiscusreel.daemon.http;
+
+/** Outcome of an HTTP call. */
+public sealed interface HttpResult {
+
+  /**
+   * The server answered, and the whole body arrived.
+   *
+   * @param status HTTP status
+   * @param contentType content type of the body, or empty
+   * @param retryAfterMillis value of {@code Retry-After} in milliseconds, 0 if absent
+   * @param body the body
+   */
+  record Responded(int status, String contentType, long retryAfterMillis, byte[] body)
+      implements HttpResult {
+
+    /**
+     * Tells whether the status is 200 to 299.
+     *
+     * @return true for success
+     */
+    public boolean isSuccess() {
+      return status >= 200 && status < 300;
+    }
+  }
+
+  /**
+   * No connection could be opened, so the call was certainly not sent.
+   *
+   * @param reason what happened
+   */
+  record NotSent(String reason) implements HttpResult {}
+
+  /**
+   * The call was sent, but no whole answer came.
+   *
+   * @param reason what happened
+   */
+  record Lost(String reason) implements HttpResult {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/loop/package-info.java
@@ -0,0 +1,2 @@
+/** Time and delayed tasks on the ActiveJ event loop. */
+package org.hibiscusreel.daemon.loop;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
@@ -0,0 +1,58 @@
+package org.hibiscusreel.daemon.platform;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.port.PlainServiceClient;
+import org.hibiscusreel.core.config.Upstream;
+import org.hibiscusreel.daemon.http.HttpCalls;
+import org.hibiscusreel.daemon.http.HttpResult;
+
+/** Plain services over HTTP. */
+public final class HttpPlainServiceClient implements PlainServiceClient {
+
+  private static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.register("Idempotency-Key");
+
+  private final HttpCalls calls;
+
+  /**
+   * Creates a client.
+   *
+   * @param calls HTTP client without reuse of connections, so that a service that closes an idle
+   *     connection does not cause an unknown outcome
+   * @throws NullPointerException if the argument is null
+   */
+  public HttpPlainServiceClient(HttpCalls calls) {
+    this.calls = Objects.requireNonNull(calls, "calls");
+  }
+
+  @Override
+  public CompletableFuture<Result> call(Upstream upstream, Call call) {
+    Map<HttpHeader, String> headers = new HashMap<>();
+    headers.put(IDEMPOTENCY_KEY, call.idempotencyKey());
+    if (!call.contentType().isEmpty()) {
+      headers.put(HttpHeaders.CONTENT_TYPE, call.contentType());
+    }
+    String url = "http://" + upstream.address() + "/" + call.method();
+    return calls
+        .call(HttpMethod.POST, url, headers, call.body(), call.timeoutMillis())
+        .thenApply(HttpPlainServiceClient::toResult);
+  }
+
+  private static Result toResult(HttpResult result) {
+    if (result instanceof HttpResult.NotSent n) {
+      return new Result.NotSent(n.reason());
+    }
+    if (result instanceof HttpResult.Responded r) {
+      return switch (r.status()) {
+        case 429, 503 -> new Result.NotSent("the service refused with status " + r.status());
+        default -> new Result.Responded(r.status(), r.contentType(), r.body());
+      };
+    }
+    return new Result.Unknown(((HttpResult.Lost) result).reason());
+  }
+}
