--- /dev/null
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeTable.java
@@ -0,0 +1,168 @@
+package org.hibiscusreel.coordination.testing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.Row;
+import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.port.WriteResult;
+
+/** In-memory table with one latency and programmable faults. */
+public final class FakeTable implements TableService {
+
+  /** What happens to one call. */
+  public enum Fault {
+    NONE,
+    /** The call certainly has no effect. */
+    NOT_APPLIED,
+    /** The write takes effect, but its answer is lost. */
+    ANSWER_LOST,
+    /** The write is lost, and the caller can't know that. */
+    REQUEST_LOST,
+    /** The answer is lost, and the write takes effect only seconds later. */
+    APPLIED_LATE
+  }
+
+  private static final long LATENCY_MILLIS = 2;
+  private static final long LATE_MILLIS = 3_000;
+
+  private final VirtualScheduler scheduler;
+  private final NavigableMap<String, Row> rows = new TreeMap<>();
+  private final Deque<Fault> writeFaults = new ArrayDeque<>();
+
+  /** Gives the fault of writes that have no programmed one. */
+  public Supplier<Fault> randomFaults = () -> Fault.NONE;
+
+  public boolean isDown;
+  public int writes;
+  public int reads;
+
+  /** Creates an empty table. */
+  public FakeTable(VirtualScheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  /** Programs the faults of the next writes. */
+  public void failWrites(Fault... faults) {
+    writeFaults.addAll(List.of(faults));
+  }
+
+  /** Writes a row at once. */
+  public void put(String key, Object value) {
+    rows.merge(key, new Row(key, 1, Json.write(value)), this::next);
+  }
+
+  private Row next(Row old, Row added) {
+    return new Row(old.key(), old.version() + 1, added.value());
+  }
+
+  /** Returns the record of a row, or null. */
+  public <T> T get(String key, Class<T> type) {
+    Row row = rows.get(key);
+    return row == null ? null : Json.read(row.value(), type);
+  }
+
+  /** Returns the rows whose key begins with a prefix. */
+  public List<Row> all(String prefix) {
+    return rows.values().stream().filter(r -> r.key().startsWith(prefix)).toList();
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
+    if (mutations.isEmpty() || mutations.size() > MAX_ROWS) {
+      throw new IllegalArgumentException("a transaction has 1 to 100 rows");
+    }
+    if (mutations.stream().map(Mutation::key).distinct().count() != mutations.size()) {
+      throw new IllegalArgumentException("the rows of a transaction must be distinct");
+    }
+    writes++;
+    Fault programmed = writeFaults.poll();
+    Fault fault = programmed != null ? programmed : randomFaults.get();
+    if (isDown) {
+      fault = Fault.NOT_APPLIED;
+    }
+    CompletableFuture<WriteResult> result = new CompletableFuture<>();
+    Fault f = fault;
+    scheduler.schedule(LATENCY_MILLIS, () -> result.complete(outcome(mutations, f)));
+    return result;
+  }
+
+  private WriteResult outcome(List<Mutation> mutations, Fault fault) {
+    if (fault == Fault.ANSWER_LOST) {
+      apply(mutations);
+    } else if (fault == Fault.APPLIED_LATE) {
+      scheduler.schedule(LATE_MILLIS, () -> apply(mutations));
+    }
+    return switch (fault) {
+      case NONE -> apply(mutations);
+      case NOT_APPLIED -> new WriteResult.NotApplied("programmed");
+      default -> new WriteResult.Unknown("programmed");
+    };
+  }
+
+  private WriteResult apply(List<Mutation> mutations) {
+    List<Row> conflicts = new ArrayList<>();
+    for (Mutation m : mutations) {
+      Row row = rows.getOrDefault(m.key(), new Row(m.key(), 0, ""));
+      boolean holds = true;
+      if (m.expect() instanceof Mutation.Expect.Absent) {
+        holds = row.version() == 0;
+      } else if (m.expect() instanceof Mutation.Expect.Version expected) {
+        holds = row.version() == expected.version();
+      }
+      if (!holds) {
+        conflicts.add(row);
+      }
+    }
+    if (!conflicts.isEmpty()) {
+      return new WriteResult.Conflict(conflicts);
+    }
+    List<Long> versions = new ArrayList<>();
+    for (Mutation m : mutations) {
+      long version = rows.containsKey(m.key()) ? rows.get(m.key()).version() : 0;
+      if (m.change() instanceof Mutation.Change.Put put) {
+        rows.put(m.key(), new Row(m.key(), ++version, put.value()));
+      } else if (m.change() instanceof Mutation.Change.Delete) {
+        rows.remove(m.key());
+        version = 0;
+      }
+      versions.add(version);
+    }
+    return new WriteResult.Committed(versions);
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(List<String> keys) {
+    return respond(
+        () ->
+            new ReadResult.Rows(
+                keys.stream().filter(rows::containsKey).map(rows::get).toList(), false));
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
+    return respond(
+        () -> {
+          List<Row> found = all(prefix).stream().filter(r -> r.key().compareTo(after) > 0).toList();
+          List<Row> page = found.stream().limit(limit).toList();
+          return new ReadResult.Rows(page, page.size() < found.size());
+        });
+  }
+
+  private CompletableFuture<ReadResult> respond(Supplier<ReadResult> answer) {
+    reads++;
+    CompletableFuture<ReadResult> result = new CompletableFuture<>();
+    scheduler.schedule(
+        LATENCY_MILLIS,
+        () -> result.complete(isDown ? new ReadResult.Failed("down") : answer.get()));
+    return result;
+  }
+}
