--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
@@ -60,9 +60,6 @@
   /** Time to return tokens at a stop before the ledger is handed over. */
   private static final long RETURN_TIMEOUT_MILLIS = 5_000;
 
-  private static final long HAND_OVER_TIMEOUT_MILLIS = 1_000;
-  private static final int HAND_OVER_ATTEMPTS = 10;
-
   private final Scheduler scheduler;
   private final TableService table;
   private final PeerTransport peers;
@@ -72,9 +69,11 @@
   private final long drainTimeoutMillis;
   private final AllotmentHolder holder;
   private final SettlementOutbox outbox;
+  private final HandOverSender handOvers;
   private final Map<String, Reservation> openHere = new HashMap<>();
   private final Set<String> deadHolders = new HashSet<>();
   private Cancellable maintenance = () -> {};
+  private boolean isRegistered;
   private boolean isStopping;
   private boolean isHandedOver;
   private long reservations;
@@ -112,6 +111,7 @@
         new AllotmentPlatform(
             scheduler, table, events, releases, () -> releases.failureDomains().size(), random);
     this.holder = new AllotmentHolder(scheduler, events, platform, self());
+    this.handOvers = new HandOverSender(peers, membership, events);
     this.outbox = new SettlementOutbox(scheduler, peers, membership, events, random);
   }
 
@@ -127,6 +127,16 @@
             });
   }
 
+  /**
+   * Allows to use allotments of other holders. Before, reservations are taken only from this
+   * daemon's own allotments: the allotment of a dead holder is reclaimed when all registered
+   * incarnations of the domain have acknowledged the death, so one that is not registered yet must
+   * not use it.
+   */
+  public void markRegistered() {
+    isRegistered = true;
+  }
+
   @Override
   public CompletableFuture<ReservationResult> reserve(
       RequestKey key, String budget, long tokens, long waitMillis) {
@@ -136,8 +146,8 @@
     }
     List<MemberInfo> ranked = membership.rank(membership.self().failureDomain(), budget);
     List<MemberInfo> targets = new ArrayList<>(ranked.subList(0, Math.min(RANKS, ranked.size())));
-    if (targets.isEmpty()) {
-      targets.add(membership.self());
+    if (targets.isEmpty() || !isRegistered) {
+      targets = List.of(membership.self());
     }
     long deadline = scheduler.nowMillis() + waitMillis;
     ReserveCall call = new ReserveCall(budget, key.account(), key.requestId(), "", tokens, self());
@@ -310,18 +320,31 @@
    * Handles the offer of the ledger of a stopping holder.
    *
    * @param request the message
-   * @return the response; refused while stopping and for holders acknowledged as dead
+   * @return the response; refused while stopping, before registration and for holders acknowledged
+   *     as dead
    */
   public CompletableFuture<HandOverResponse> handleHandOver(HandOverRequest request) {
     events.observe(request.getStamp());
     List<HandOverEntry> entries =
         request.getEntriesList().stream().map(PeerMessages::fromWire).toList();
     boolean accepted =
-        !deadHolders.contains(request.getHolder()) && holder.adopt(request.getHolder(), entries);
+        isRegistered
+            && !deadHolders.contains(request.getHolder())
+            && holder.adopt(request.getHolder(), entries);
     return CompletableFuture.completedFuture(
         HandOverResponse.newBuilder().setStamp(events.stamp()).setAccepted(accepted).build());
   }
 
+  /**
+   * Notes that the platform lists a holder as closed or dead. Settlements for it are given up once
+   * all daemons of the domain, one of which may have taken over its ledger, have received them.
+   *
+   * @param ended incarnation that has ended
+   */
+  public void noteEnded(String ended) {
+    outbox.noteEnded(ended);
+  }
+
   /**
    * Acknowledges the death of a holder if no reservation from its allotments is open at this daemon
    * and its ledger is not held here. Afterwards its reservations and its ledger are refused.
@@ -330,7 +353,6 @@
    * @return true if acknowledged
    */
   public boolean acknowledgeDeath(String dead) {
-    outbox.noteEnded(dead);
     boolean isUsed = openHere.values().stream().anyMatch(r -> r.holder().equals(dead));
     if (isUsed || holder.holdsLedgerOf(dead)) {
       return false;
@@ -430,49 +452,7 @@
       return;
     }
     isHandedOver = true;
-    Map<String, List<HandOverEntry>> ledgers = holder.freeze();
-    List<MemberInfo> successors =
-        membership.rank(membership.self().failureDomain(), self()).stream()
-            .filter(m -> !m.incarnation().equals(self()))
-            .toList();
-    CompletableFuture<?>[] offers =
-        ledgers.entrySet().stream()
-            .map(e -> offer(e.getKey(), e.getValue(), successors, 0, HAND_OVER_ATTEMPTS))
-            .toArray(CompletableFuture[]::new);
-    FutureCallbacks.onValue(CompletableFuture.allOf(offers), stopped::complete);
-  }
-
-  /** Offers a ledger to one successor; only a refusal allows to offer it to the next one. */
-  private CompletableFuture<Void> offer(
-      String holderId,
-      List<HandOverEntry> entries,
-      List<MemberInfo> successors,
-      int index,
-      int attempts) {
-    if (index >= successors.size() || attempts == 0) {
-      events.record("hand_over_failed", "holder=" + holderId);
-      return CompletableFuture.completedFuture(null);
-    }
-    HandOverRequest request =
-        HandOverRequest.newBuilder()
-            .setStamp(events.stamp())
-            .setHolder(holderId)
-            .addAllEntries(entries.stream().map(PeerMessages::toWire).toList())
-            .build();
-    MemberInfo successor = successors.get(index);
-    return peers
-        .handOver(successor.peerAddress(), request, HAND_OVER_TIMEOUT_MILLIS)
-        .thenCompose(
-            response -> {
-              if (response.isEmpty()) {
-                return offer(holderId, entries, successors, index, attempts - 1);
-              }
-              if (!response.get().getAccepted()) {
-                return offer(holderId, entries, successors, index + 1, attempts);
-              }
-              events.record("ledger_handed_over", "to=" + successor.incarnation());
-              return CompletableFuture.completedFuture(null);
-            });
+    FutureCallbacks.onValue(handOvers.offerAll(holder.freeze()), stopped::complete);
   }
 
   private String self() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/SettlementOutbox.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/SettlementOutbox.java
@@ -70,7 +70,9 @@
 
   /** Notes that the platform lists a holder as dead or closed. */
   void noteEnded(String holder) {
-    ended.add(holder);
+    if (mailboxes.containsKey(holder)) {
+      ended.add(holder);
+    }
   }
 
   void add(SettleEntry entry) {
@@ -145,6 +147,7 @@
     }
     if (box.entries.isEmpty()) {
       mailboxes.remove(holder, box);
+      ended.remove(holder);
     } else {
       scheduleSend(holder, box, ok ? TICK_MILLIS : backoff.delayMillis(box.failures));
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/platform/FutureCallbacks.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/platform/FutureCallbacks.java
@@ -2,8 +2,10 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Iterator;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Callbacks of futures whose faults are logged instead of being lost. */
 public final class FutureCallbacks {
@@ -29,4 +31,41 @@
                   return null;
                 });
   }
+
+  /**
+   * Runs an action when a future ends, also if it ends exceptionally.
+   *
+   * @param future the future
+   * @param action the action
+   */
+  public static void onEnd(CompletableFuture<Void> future, Runnable action) {
+    onValue(
+        future.exceptionally(
+            fault -> {
+              LOGGER.log(Level.ERROR, "a task failed", fault);
+              return null;
+            }),
+        done -> action.run());
+  }
+
+  /**
+   * Runs an asynchronous action for each element, one after the other.
+   *
+   * @param elements the elements
+   * @param action the action
+   * @param <T> type of the elements
+   * @return completes after the last action
+   */
+  public static <T> CompletableFuture<Void> inOrder(
+      Iterable<? extends T> elements, Function<? super T, CompletableFuture<Void>> action) {
+    return next(elements.iterator(), action);
+  }
+
+  private static <T> CompletableFuture<Void> next(
+      Iterator<? extends T> rest, Function<? super T, CompletableFuture<Void>> action) {
+    if (!rest.hasNext()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return action.apply(rest.next()).thenCompose(done -> next(rest, action));
+  }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Recovery of what ended incarnations left behind. */
+package org.hibiscusreel.coordination.recovery;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
@@ -62,6 +62,7 @@
       this.billing =
           new BillingService(clock, ownTable, allotments, recorder, random::nextLong, 1_000);
       allotments.start();
+      allotments.markRegistered();
       billing.start();
     }
 
