--- a/coordination/src/main/java/org/hibiscusreel/coordination/config/ConfigurationCompiler.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/config/ConfigurationCompiler.java
@@ -113,8 +113,10 @@
             errors.addAll(TomlFile.describe(invalid.errors(), files));
           }
         });
-    if (sites.isEmpty()) {
-      errors.add(base.describe(new ConfigurationError("sites", "at least one site is needed")));
+    if (sites.isEmpty()
+        && ConfigurationReader.read(base.tree(), version)
+            instanceof ConfigurationResult.Invalid invalid) {
+      errors.addAll(TomlFile.describe(invalid.errors(), List.of(base)));
     }
     return errors.isEmpty()
         ? new Result.Compiled(bySite, trees)
