--- a/coordination/src/main/java/org/hibiscusreel/coordination/membership/MembershipService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/membership/MembershipService.java
@@ -11,7 +11,7 @@
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.node.NodePorts;
 import org.hibiscusreel.coordination.node.NodeSettings;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.HostList;
 import org.hibiscusreel.coordination.port.PeerTransport;
@@ -214,7 +214,7 @@
 
   private void probeMember(MemberUpdate target) {
     ProbeRequest request = request(target.incarnation());
-    Futures.accept(
+    FutureCallbacks.onValue(
         peers.probe(target.peerAddress(), request, timeout(PROBE_TIMEOUT_MILLIS)),
         r -> {
           if (r.isPresent()) {
@@ -234,7 +234,7 @@
             .map(MemberUpdate::incarnation)
             .findFirst()
             .orElse("");
-    Futures.accept(
+    FutureCallbacks.onValue(
         peers.probe(address, request(incarnation), timeout(PROBE_TIMEOUT_MILLIS)),
         r -> r.ifPresent(this::onResponse));
   }
@@ -256,7 +256,7 @@
               .build();
       calls.add(peers.probeIndirect(h.peerAddress(), r, timeout(INDIRECT_TIMEOUT_MILLIS)));
     }
-    Futures.accept(
+    FutureCallbacks.onValue(
         CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new)),
         done -> onIndirect(target, calls));
   }
@@ -368,7 +368,7 @@
             MAX_HOST_POLL_MILLIS,
             Math.max(MIN_HOST_POLL_MILLIS, members * HOST_POLL_MILLIS_PER_MEMBER));
     hostPoll = scheduler.schedule(interval, this::pollHosts);
-    Futures.accept(hosts.fetch(), l -> l.ifPresent(this::onListing));
+    FutureCallbacks.onValue(hosts.fetch(), l -> l.ifPresent(this::onListing));
   }
 
   private void onListing(HostList.Listing listing) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -28,6 +28,16 @@
   private CompletableFuture<Void> stopping;
   private boolean started;
 
+  /**
+   * Creates a node.
+   *
+   * @param settings settings of the daemon
+   * @param ports what it works with
+   */
+  public CoordinationNode(NodeSettings settings, NodePorts ports) {
+    this(settings, ports, PlatformServices::new);
+  }
+
   /** Builds a node around the services that work with the platform. */
   CoordinationNode(NodeSettings settings, NodePorts ports, NodeServices.Factory factory) {
     this.settings = settings;
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -0,0 +1,175 @@
+package org.hibiscusreel.coordination.node;
+
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.budget.AllotmentService;
+import org.hibiscusreel.coordination.budget.BudgetReservations;
+import org.hibiscusreel.coordination.claim.ClaimService;
+import org.hibiscusreel.coordination.claim.Claims;
+import org.hibiscusreel.coordination.config.ConfigurationFollower;
+import org.hibiscusreel.coordination.config.ConfigurationView;
+import org.hibiscusreel.coordination.ledger.Billing;
+import org.hibiscusreel.coordination.ledger.BillingService;
+import org.hibiscusreel.coordination.membership.MembershipService;
+import org.hibiscusreel.coordination.membership.PeerVersionListener;
+import org.hibiscusreel.coordination.request.OutcomeListener;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.wire.FetchConfigurationRequest;
+import org.hibiscusreel.wire.FetchConfigurationResponse;
+import org.hibiscusreel.wire.HandOverRequest;
+import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.ReleaseRequest;
+import org.hibiscusreel.wire.ReleaseResponse;
+import org.hibiscusreel.wire.ReserveRequest;
+import org.hibiscusreel.wire.ReserveResponse;
+import org.hibiscusreel.wire.SettleRequest;
+import org.hibiscusreel.wire.SettleResponse;
+
+/** The services of a node that work with the platform's table service and object store. */
+final class PlatformServices implements NodeServices {
+  private final ConfigurationFollower configuration;
+  private final AllotmentService budgets;
+  private final BillingService billing;
+  private final ClaimService claims;
+
+  PlatformServices(
+      NodeSettings settings,
+      NodePorts ports,
+      EventRecorder recorder,
+      MembershipService membership) {
+    configuration =
+        new ConfigurationFollower(
+            ports.scheduler(),
+            ports.table(),
+            ports.objects(),
+            ports.peers(),
+            membership,
+            recorder,
+            settings.self().site(),
+            settings.seeds(),
+            ports.random());
+    budgets =
+        new AllotmentService(
+            ports.scheduler(),
+            ports.table(),
+            ports.peers(),
+            membership,
+            configuration,
+            recorder,
+            ports.random(),
+            settings.drainTimeoutMillis());
+    billing =
+        new BillingService(
+            ports.scheduler(),
+            ports.table(),
+            budgets,
+            recorder,
+            ports.random(),
+            settings.maxBufferedBills());
+    claims =
+        new ClaimService(
+            ports.scheduler(),
+            ports.table(),
+            recorder,
+            ports.random(),
+            settings.self().incarnation());
+  }
+
+  @Override
+  public BudgetReservations budgets() {
+    return budgets;
+  }
+
+  @Override
+  public Billing billing() {
+    return billing;
+  }
+
+  @Override
+  public Claims claims() {
+    return claims;
+  }
+
+  @Override
+  public ConfigurationView configuration() {
+    return configuration;
+  }
+
+  @Override
+  public PeerVersionListener versions() {
+    return (peer, version) -> configuration.onPeerVersion(version, peer.peerAddress());
+  }
+
+  @Override
+  public OutcomeListener outcomes() {
+    return outcome -> {};
+  }
+
+  @Override
+  public long configurationVersion() {
+    return configuration.version();
+  }
+
+  @Override
+  public int billsBuffered() {
+    return billing.pending();
+  }
+
+  @Override
+  public long tokensHeld() {
+    return 0;
+  }
+
+  @Override
+  public boolean isRegistered() {
+    return true;
+  }
+
+  @Override
+  public void start() {
+    configuration.start();
+    budgets.start();
+    billing.start();
+  }
+
+  @Override
+  public CompletableFuture<Void> flush() {
+    return CompletableFuture.allOf(billing.stop(), claims.stop());
+  }
+
+  @Override
+  public CompletableFuture<Void> returnAllotments() {
+    return budgets.stop();
+  }
+
+  @Override
+  public CompletableFuture<Void> close() {
+    configuration.stop();
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<ReserveResponse> reserve(ReserveRequest request) {
+    return budgets.handleReserve(request);
+  }
+
+  @Override
+  public CompletableFuture<SettleResponse> settle(SettleRequest request) {
+    return budgets.handleSettle(request);
+  }
+
+  @Override
+  public CompletableFuture<ReleaseResponse> release(ReleaseRequest request) {
+    return budgets.handleRelease(request);
+  }
+
+  @Override
+  public CompletableFuture<HandOverResponse> handOver(HandOverRequest request) {
+    return budgets.handleHandOver(request);
+  }
+
+  @Override
+  public CompletableFuture<FetchConfigurationResponse> fetchConfiguration(
+      FetchConfigurationRequest request) {
+    return configuration.fetchConfiguration(request);
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/CancelledUsage.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CancelledUsage.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.EngineClient;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.UsageRecord;
@@ -51,7 +51,7 @@
     scheduler.schedule(
         RETRY_MILLIS[n],
         () ->
-            Futures.accept(
+            FutureCallbacks.onValue(
                 engines.usage(engine, server, cursors.getOrDefault(engine.name(), 0L)),
                 records -> {
                   records.ifPresent(r -> keep(engine.name(), r));
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ClaimedCall.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ClaimedCall.java
@@ -3,7 +3,7 @@
 import java.util.Base64;
 import org.hibiscusreel.coordination.claim.Claim;
 import org.hibiscusreel.coordination.claim.ClaimResult;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.PlainServiceClient;
 import org.hibiscusreel.core.claim.ClaimRow;
 import org.hibiscusreel.core.claim.ClaimState;
@@ -28,7 +28,7 @@
   void start() {
     ServiceRequest r = task.request();
     long wait = Reserving.waitMillis(task.ticket());
-    Futures.accept(
+    FutureCallbacks.onValue(
         context.claims().claim(r.key(), r.fingerprint(), wait),
         result -> {
           if (result instanceof ClaimResult.Held h) {
@@ -48,7 +48,7 @@
     } else if (leaving) {
       withdraw(claim, ProblemCode.NO_UPSTREAM, "the instance is leaving");
     } else {
-      Futures.accept(task.call(instance), r -> onResult(claim, r));
+      FutureCallbacks.onValue(task.call(instance), r -> onResult(claim, r));
     }
   }
 
@@ -68,7 +68,7 @@
   /** Gives the claim back; only a committed withdrawal proves that the call never runs. */
   private void withdraw(Claim claim, ProblemCode code, String detail) {
     task.releaseInstance(instance);
-    Futures.accept(
+    FutureCallbacks.onValue(
         context.claims().withdraw(claim),
         committed -> {
           if (committed) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
@@ -10,7 +10,7 @@
 import java.util.regex.Pattern;
 import org.hibiscusreel.coordination.membership.MemberInfo;
 import org.hibiscusreel.coordination.membership.MembershipView;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.PeerTransport;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
@@ -118,7 +118,7 @@
     for (MemberInfo m : membership.alive()) {
       boolean other = !m.incarnation().equals(self.incarnation());
       if (other && m.failureDomain().equals(self.failureDomain())) {
-        Futures.accept(
+        FutureCallbacks.onValue(
             peers.reportCrashes(m.peerAddress(), report, REPORT_TIMEOUT_MILLIS),
             r -> r.ifPresent(x -> recorder.observe(x.getStamp())));
       }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ModelCallTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ModelCallTask.java
@@ -7,7 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hibiscusreel.coordination.budget.ReservationResult;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.DispatchMetadata;
 import org.hibiscusreel.coordination.port.EngineEnd;
 import org.hibiscusreel.coordination.port.EngineFailure;
@@ -57,7 +57,7 @@
       return;
     }
     long wait = Reserving.waitMillis(ticket);
-    Futures.accept(
+    FutureCallbacks.onValue(
         context
             .budgets()
             .reserve(request.key(), request.budget(), ticket.terms().worstCase(), wait),
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.budget.ReservationResult;
 import org.hibiscusreel.coordination.claim.Claim;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.PlainServiceClient;
 import org.hibiscusreel.core.config.ServiceMethod;
 import org.hibiscusreel.core.config.UpstreamKind;
@@ -45,7 +45,7 @@
       return future;
     }
     long wait = Reserving.waitMillis(ticket);
-    Futures.accept(
+    FutureCallbacks.onValue(
         context
             .budgets()
             .reserve(request.key(), request.budget(), ticket.terms().worstCase(), wait),
@@ -88,7 +88,7 @@
     UpstreamState instance = chosen.get();
     instance.begin(request.fingerprint(), false);
     if (method.repeatable()) {
-      Futures.accept(call(instance), r -> onRepeatable(instance, r));
+      FutureCallbacks.onValue(call(instance), r -> onRepeatable(instance, r));
     } else {
       new ClaimedCall(context, this, instance).start();
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/UnresolvedCalls.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/UnresolvedCalls.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.hibiscusreel.coordination.claim.Claim;
 import org.hibiscusreel.coordination.claim.Claims;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.core.claim.ClaimRow;
 import org.hibiscusreel.core.claim.ClaimState;
 import org.hibiscusreel.core.config.ServiceMethod;
@@ -43,7 +43,7 @@
   private void poll() {
     scheduled = false;
     for (Unresolved u : List.copyOf(calls)) {
-      Futures.accept(
+      FutureCallbacks.onValue(
           context.claims().lookUp(u.claim().key()),
           l -> {
             if (l instanceof Claims.LookUp.Known k) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/UpstreamPoller.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/UpstreamPoller.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.CacheEvent;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.EngineClient;
@@ -68,10 +68,10 @@
 
   private void poll(UpstreamState s, boolean withCache) {
     Upstream u = s.upstream();
-    Futures.accept(engines.load(u), load -> onLoad(s, load));
+    FutureCallbacks.onValue(engines.load(u), load -> onLoad(s, load));
     if (withCache) {
       long after = upstreams.prefixes().lastSeq(u.name());
-      Futures.accept(engines.cacheEvents(u, after), events -> onCache(u.name(), events));
+      FutureCallbacks.onValue(engines.cacheEvents(u, after), events -> onCache(u.name(), events));
     }
   }
 
