--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FakeEngines.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FakeEngines.java
@@ -144,7 +144,7 @@
       return Math.max(1, request.body().length / BYTES_PER_TOKEN);
     }
 
-    private UsageRecord usage() {
+    UsageRecord usage() {
       return new UsageRecord(
           seq, request.streamId(), request.metadata(), promptTokens(), produced, state);
     }
--- /dev/null
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Steps of the scripted scenarios. */
+package org.hibiscusreel.bench.scenario;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentHolder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentHolder.java
@@ -285,6 +285,10 @@
     return open;
   }
 
+  long available() {
+    return own.ledger.budgets().stream().mapToLong(BudgetLedger::available).sum();
+  }
+
   /** Returns the tokens that can be reserved without a draw. */
   long available(String budget) {
     return all().stream()
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
@@ -402,6 +402,15 @@
     return holder.available(budget);
   }
 
+  /**
+   * Returns the tokens of all budgets that can be reserved here without a draw.
+   *
+   * @return tokens, not negative
+   */
+  public long tokensHeld() {
+    return holder.available();
+  }
+
   /**
    * Tells whether this incarnation holds no allotment and owes no settlement.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/Billing.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/Billing.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.coordination.ledger;
 
+import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.core.budget.Reservation;
 import org.hibiscusreel.core.ledger.Bill;
 
@@ -31,4 +32,14 @@
    * @param reservation reservation that covers it
    */
   void record(Bill bill, Reservation reservation);
+
+  /**
+   * Records a bill like {@link #record} and flushes it soon. A call to a plain service leaves no
+   * usage record at its upstream, so its answer is held back until its bill is in the platform.
+   *
+   * @param bill the bill
+   * @param reservation reservation that covers it
+   * @return completes when the bill is in the platform, or when the platform takes no bills now
+   */
+  CompletableFuture<Void> recordDurably(Bill bill, Reservation reservation);
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -23,6 +23,13 @@
 public final class BillingService implements Billing {
 
   private static final long FLUSH_INTERVAL_MILLIS = 5_000;
+
+  /** Gathers the durable bills of calls that end together into one transaction. */
+  private static final long DURABLE_FLUSH_MILLIS = 10;
+
+  /** Longest time that an answer is held back for its bill. */
+  private static final long DURABLE_TIMEOUT_MILLIS = 1_000;
+
   private static final int FLUSH_ROWS = TableService.MAX_ROWS;
   private static final long FIRST_RETRY_MILLIS = 50;
   private static final long MAX_RETRY_MILLIS = 10_000;
@@ -41,6 +48,7 @@
   private final Map<String, PendingBill> pending = new LinkedHashMap<>();
 
   private final Map<String, Reservation> covers = new LinkedHashMap<>();
+  private final Map<String, CompletableFuture<Void>> durable = new LinkedHashMap<>();
   private final List<CompletableFuture<Void>> stops = new ArrayList<>();
   private Cancellable timer = () -> {};
   private int acquired;
@@ -151,6 +159,27 @@
     }
   }
 
+  @Override
+  public CompletableFuture<Void> recordDurably(Bill bill, Reservation reservation) {
+    CompletableFuture<Void> written = new CompletableFuture<>();
+    durable.put(bill.reservationId(), written);
+    record(bill, reservation);
+    if (failures > 0) {
+      completeDurable(bill.reservationId());
+    } else {
+      scheduler.schedule(DURABLE_FLUSH_MILLIS, this::flush);
+      scheduler.schedule(DURABLE_TIMEOUT_MILLIS, () -> completeDurable(bill.reservationId()));
+    }
+    return written;
+  }
+
+  private void completeDurable(String reservationId) {
+    CompletableFuture<Void> written = durable.remove(reservationId);
+    if (written != null) {
+      written.complete(null);
+    }
+  }
+
   private void flush() {
     if (isFlushing || isRetrying || pending.isEmpty()) {
       return;
@@ -175,13 +204,18 @@
     if (pending.isEmpty()) {
       completeStops();
     } else if (!isProgress) {
+      List.copyOf(durable.keySet()).forEach(this::completeDurable);
       isRetrying = true;
       scheduler.schedule(backoff.delayMillis(failures), this::retry);
-    } else if (!isRunning || isPartial(batch, attempt) || pending.size() >= FLUSH_ROWS) {
+    } else if (!isRunning || isPartial(batch, attempt) || isFlushDue()) {
       flush();
     }
   }
 
+  private boolean isFlushDue() {
+    return pending.size() >= FLUSH_ROWS || !durable.isEmpty();
+  }
+
   private static boolean isPartial(BillBatch batch, BillWriter.Attempt attempt) {
     return attempt.outcomes().size() < batch.bills().size();
   }
@@ -201,6 +235,7 @@
     pending.remove(id);
     boolean isWritten = outcome.verdict() == PendingBill.Verdict.WRITTEN;
     reservations.close(covers.remove(id), isWritten ? bill.tokens() : 0);
+    completeDurable(id);
     String kind = isWritten ? "bill_written" : "bill_duplicate";
     String detail = "tokens=" + bill.tokens() + " key=" + outcome.pending().billedId();
     events.record(kind, bill.account(), bill.requestId(), bill.budget(), "", detail);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -35,7 +35,18 @@
    * @param ports what it works with
    */
   public CoordinationNode(NodeSettings settings, NodePorts ports) {
-    this(settings, ports, PlatformServices::new);
+    this(settings, ports, NodeDecorators.none());
+  }
+
+  /**
+   * Creates a node with some services wrapped or replaced.
+   *
+   * @param settings settings of the daemon
+   * @param ports what it works with
+   * @param decorators wrap the services
+   */
+  public CoordinationNode(NodeSettings settings, NodePorts ports, NodeDecorators decorators) {
+    this(settings, ports, (s, p, r, m) -> new PlatformServices(s, p, r, m, decorators));
   }
 
   /** Builds a node around the services that work with the platform. */
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeDecorators.java
@@ -0,0 +1,29 @@
+package org.hibiscusreel.coordination.node;
+
+import java.util.function.UnaryOperator;
+import org.hibiscusreel.coordination.budget.BudgetReservations;
+import org.hibiscusreel.coordination.claim.Claims;
+import org.hibiscusreel.coordination.ledger.Billing;
+
+/**
+ * Wraps or replaces services of a node, for policies of an embedding program.
+ *
+ * @param budgets wraps the reservations
+ * @param billing wraps the bills
+ * @param claims wraps the claims
+ */
+public record NodeDecorators(
+    UnaryOperator<BudgetReservations> budgets,
+    UnaryOperator<Billing> billing,
+    UnaryOperator<Claims> claims) {
+
+  /**
+   * Returns decorators that change nothing.
+   *
+   * @return the services as shipped
+   */
+  public static NodeDecorators none() {
+    return new NodeDecorators(
+        UnaryOperator.identity(), UnaryOperator.identity(), UnaryOperator.identity());
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeSettings.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeSettings.java
@@ -7,7 +7,9 @@
  * Settings of the coordination services of one daemon.
  *
  * @param self this daemon
- * @param bootId kernel boot identifier of the host, empty if unknown
+ * @param bootId kernel boot identifier of the host; empty if unknown or if this process does not
+ *     hold the peer port exclusively, since only the two together prove that an earlier process at
+ *     the port is gone
  * @param seeds peer addresses to ask first, IP number and port each
  * @param maxBufferedBills largest number of bills that wait for the platform
  * @param drainTimeoutMillis longest time that a graceful stop waits for requests in progress, in
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -11,6 +11,7 @@
 import org.hibiscusreel.coordination.ledger.BillingService;
 import org.hibiscusreel.coordination.membership.MembershipService;
 import org.hibiscusreel.coordination.membership.PeerVersionListener;
+import org.hibiscusreel.coordination.recovery.RecoveryService;
 import org.hibiscusreel.coordination.request.OutcomeListener;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.wire.FetchConfigurationRequest;
@@ -30,12 +31,17 @@
   private final AllotmentService budgets;
   private final BillingService billing;
   private final ClaimService claims;
+  private final RecoveryService recovery;
+  private final BudgetReservations decoratedBudgets;
+  private final Billing decoratedBilling;
+  private final Claims decoratedClaims;
 
   PlatformServices(
       NodeSettings settings,
       NodePorts ports,
       EventRecorder recorder,
-      MembershipService membership) {
+      MembershipService membership,
+      NodeDecorators decorators) {
     configuration =
         new ConfigurationFollower(
             ports.scheduler(),
@@ -57,14 +63,16 @@
             recorder,
             ports.random(),
             settings.drainTimeoutMillis());
+    decoratedBudgets = decorators.budgets().apply(budgets);
     billing =
         new BillingService(
             ports.scheduler(),
             ports.table(),
-            budgets,
+            decoratedBudgets,
             recorder,
             ports.random(),
             settings.maxBufferedBills());
+    decoratedBilling = decorators.billing().apply(billing);
     claims =
         new ClaimService(
             ports.scheduler(),
@@ -72,21 +80,36 @@
             recorder,
             ports.random(),
             settings.self().incarnation());
+    decoratedClaims = decorators.claims().apply(claims);
+    recovery =
+        new RecoveryService(
+            ports.scheduler(),
+            ports.table(),
+            ports.hosts(),
+            ports.engines(),
+            membership,
+            configuration,
+            budgets,
+            billing,
+            recorder,
+            ports.random(),
+            settings.bootId(),
+            !settings.bootId().isEmpty());
   }
 
   @Override
   public BudgetReservations budgets() {
-    return budgets;
+    return decoratedBudgets;
   }
 
   @Override
   public Billing billing() {
-    return billing;
+    return decoratedBilling;
   }
 
   @Override
   public Claims claims() {
-    return claims;
+    return decoratedClaims;
   }
 
   @Override
@@ -116,7 +139,7 @@
 
   @Override
   public long tokensHeld() {
-    return 0;
+    return budgets.tokensHeld();
   }
 
   @Override
@@ -129,6 +152,7 @@
     configuration.start();
     budgets.start();
     billing.start();
+    recovery.start();
   }
 
   @Override
@@ -143,8 +167,7 @@
 
   @Override
   public CompletableFuture<Void> close() {
-    configuration.stop();
-    return CompletableFuture.completedFuture(null);
+    return recovery.stop().thenRun(configuration::stop);
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
@@ -162,9 +162,20 @@
 
   /** Ends the call with an outcome of the service, now or of an earlier attempt. */
   void answer(int status, String contentType, byte[] body) {
-    bill(context, ticket, method, status);
-    ticket.end(false, Optional.empty());
-    future.complete(new ServiceOutcome.Answered(status, contentType, body));
+    FutureCallbacks.onValue(
+        bill(status),
+        done -> {
+          ticket.end(false, Optional.empty());
+          future.complete(new ServiceOutcome.Answered(status, contentType, body));
+        });
+  }
+
+  private CompletableFuture<Void> bill(int status) {
+    if (status < FIRST_FAILURE_STATUS) {
+      return ticket.billDurably(0, method.costTokens());
+    }
+    ticket.closeUnbilled();
+    return CompletableFuture.completedFuture(null);
   }
 
   /** Bills a call by its outcome; a failure of the service is not billed. */
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/Ticket.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/Ticket.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.coordination.request;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.core.budget.Reservation;
 import org.hibiscusreel.core.ledger.Bill;
 import org.hibiscusreel.core.request.Problem;
@@ -97,9 +98,22 @@
 
   /** Charges what was used, at most what was reserved. */
   void bill(long promptTokens, long completionTokens) {
+    if (!settled) {
+      Bill bill = settle(promptTokens, completionTokens);
+      context.billing().record(bill, reservation);
+    }
+  }
+
+  /** Charges like {@link #bill} and tells when the bill is in the platform. */
+  CompletableFuture<Void> billDurably(long promptTokens, long completionTokens) {
     if (settled) {
-      return;
+      return CompletableFuture.completedFuture(null);
     }
+    Bill bill = settle(promptTokens, completionTokens);
+    return context.billing().recordDurably(bill, reservation);
+  }
+
+  private Bill settle(long promptTokens, long completionTokens) {
     settled = true;
     long prompt = Math.min(promptTokens, reservation.tokens());
     long completion = Math.min(completionTokens, reservation.tokens() - prompt);
@@ -110,7 +124,7 @@
           (promptTokens + completionTokens) + " of " + reservation.tokens());
     }
     billedTokens = prompt + completion;
-    context.billing().record(toBill(prompt, completion), reservation);
+    return toBill(prompt, completion);
   }
 
   private Bill toBill(long prompt, long completion) {
