--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/explore/package-info.java
@@ -0,0 +1,2 @@
+/** Search for schedules of faults that break a promise. */
+package org.hibiscusreel.bench.explore;
