--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -45,6 +45,7 @@
   private Cancellable timer = () -> {};
   private int acquired;
   private int failures;
+  private int flushing;
   private boolean isRunning;
   private boolean isFlushing;
   private boolean isRetrying;
@@ -156,6 +157,7 @@
       return;
     }
     isFlushing = true;
+    flushing = pending.size();
     BillBatch batch = BillBatch.select(pending.values(), FLUSH_ROWS);
     FutureCallbacks.onValue(writer.write(batch), attempt -> complete(batch, attempt));
   }
@@ -177,13 +179,18 @@
     } else if (!isProgress) {
       isRetrying = true;
       scheduler.schedule(backoff.delayMillis(failures), this::retry);
-    } else if (!isRunning || isPartial(batch, attempt) || pending.size() >= FLUSH_ROWS) {
+    } else if (!isRunning || isIncomplete(attempt) || pending.size() >= FLUSH_ROWS) {
       flush();
     }
   }
 
-  private static boolean isPartial(BillBatch batch, BillWriter.Attempt attempt) {
-    return attempt.outcomes().size() < batch.bills().size();
+  /** Returns true if bills that waited when the flush began are still not resolved. */
+  private boolean isIncomplete(BillWriter.Attempt attempt) {
+    return attempt.outcomes().stream().filter(BillingService::isResolved).count() < flushing;
+  }
+
+  private static boolean isResolved(BillWriter.Outcome outcome) {
+    return outcome.verdict() != PendingBill.Verdict.OTHER_REQUEST;
   }
 
   private void retry() {
@@ -194,7 +201,7 @@
   private void settle(BillWriter.Outcome outcome) {
     Bill bill = outcome.pending().bill();
     String id = bill.reservationId();
-    if (outcome.verdict() == PendingBill.Verdict.OTHER_REQUEST) {
+    if (!isResolved(outcome)) {
       pending.put(id, outcome.pending().withFingerprintKey());
       return;
     }
--- /dev/null
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/ledger/BillingServiceTest.java
@@ -0,0 +1,189 @@
+package org.hibiscusreel.coordination.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.budget.BudgetReservations;
+import org.hibiscusreel.coordination.budget.ReservationResult;
+import org.hibiscusreel.coordination.platform.TableKeys;
+import org.hibiscusreel.coordination.testing.FakeTable;
+import org.hibiscusreel.coordination.testing.FakeTable.Fault;
+import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.budget.Reservation;
+import org.hibiscusreel.core.ledger.Bill;
+import org.hibiscusreel.core.ledger.SpentRow;
+import org.hibiscusreel.core.request.RequestKey;
+import org.hibiscusreel.core.timeline.HybridClock;
+import org.junit.jupiter.api.Test;
+
+class BillingServiceTest {
+
+  private static final String PRINT = "0123456789abcdef";
+
+  private final VirtualScheduler scheduler = new VirtualScheduler();
+  private final FakeTable table = new FakeTable(scheduler);
+  private final Map<String, Long> closed = new TreeMap<>();
+  private final BillingService billing = billing("server");
+
+  private BillingService billing(String server) {
+    EventRecorder recorder =
+        new EventRecorder(new HybridClock(scheduler::wallMillis), server, e -> {});
+    return new BillingService(
+        scheduler, table, new Closings(), recorder, new Random(5)::nextLong, 150);
+  }
+
+  /** Records which reservations were closed, and fails if one is closed twice. */
+  private final class Closings implements BudgetReservations {
+    @Override
+    public CompletableFuture<ReservationResult> reserve(
+        RequestKey key, String budget, long tokens, long waitMillis) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void trim(Reservation reservation, long tokens) {}
+
+    @Override
+    public void close(Reservation reservation, long tokens) {
+      assertThat(closed.put(reservation.id(), tokens)).isNull();
+    }
+  }
+
+  private static Bill bill(String request, String reservation, String print) {
+    return new Bill(
+        "account",
+        request,
+        "main",
+        "holder",
+        "server",
+        reservation,
+        "model",
+        3,
+        7,
+        1.0,
+        "site",
+        print,
+        0,
+        0,
+        0);
+  }
+
+  private void record(Bill bill) {
+    assertThat(billing.tryAcquire()).isTrue();
+    billing.record(bill, new Reservation(bill.reservationId(), "main", "holder", 100));
+  }
+
+  private long spent() {
+    return table.get(TableKeys.spent("holder", "main", "server"), SpentRow.class).tokens();
+  }
+
+  private int bills() {
+    return table.all("bill/").size();
+  }
+
+  /** Guards against one write for each request, and against a late flush. */
+  @Test
+  void flushesInOneTransactionAfterFiveSeconds() {
+    billing.start();
+    for (int i = 0; i < 50; i++) {
+      record(bill("q" + i, "r" + i, PRINT));
+    }
+    scheduler.run(4_900);
+    assertThat(table.writes).isZero();
+    scheduler.run(200);
+    assertThat(table.writes).isEqualTo(1);
+    assertThat(bills()).isEqualTo(50);
+    assertThat(spent()).isEqualTo(500);
+    assertThat(closed).hasSize(50).allSatisfy((id, tokens) -> assertThat(tokens).isEqualTo(10));
+  }
+
+  /** Guards against billing one request for two attempts, in one flush or in two. */
+  @Test
+  void billsAnotherAttemptOfTheSameRequestWithZero() {
+    billing.start();
+    record(bill("q", "r1", PRINT));
+    record(bill("q", "r2", PRINT));
+    scheduler.run(6_000);
+    record(bill("q", "r3", PRINT));
+    scheduler.run(6_000);
+    assertThat(closed).isEqualTo(Map.of("r1", 10L, "r2", 0L, "r3", 0L));
+    assertThat(spent()).isEqualTo(10);
+  }
+
+  /** Guards against service that is not billed because an identifier was used again. */
+  @Test
+  void billsAnotherRequestUnderTheSameIdentifier() {
+    billing.start();
+    record(bill("q", "r1", PRINT));
+    record(bill("q", "r2", "fedcba9876543210"));
+    scheduler.run(6_000);
+    assertThat(closed).isEqualTo(Map.of("r1", 10L, "r2", 10L));
+    assertThat(table.get(TableKeys.bill("account", "q~fedcba98"), Bill.class).reservationId())
+        .isEqualTo("r2");
+    assertThat(spent()).isEqualTo(20);
+  }
+
+  /** Guards against billing twice, or not at all, when answers of the platform are lost. */
+  @Test
+  void resolvesUnknownOutcomes() {
+    for (Fault fault : Fault.values()) {
+      table.failWrites(fault, fault);
+      record(bill("q" + fault, "r" + fault, PRINT));
+      record(bill("p" + fault, "s" + fault, PRINT));
+      scheduler.run(10_000);
+    }
+    assertThat(bills()).isEqualTo(10);
+    assertThat(spent()).isEqualTo(100);
+    assertThat(closed).hasSize(10).allSatisfy((id, tokens) -> assertThat(tokens).isEqualTo(10));
+  }
+
+  /** Guards against losing tokens when another process also wrote the sum. */
+  @Test
+  void addsToTheSumThatAnotherProcessWrote() {
+    table.put(TableKeys.spent("holder", "main", "server"), new SpentRow(5));
+    billing.start();
+    record(bill("q", "r", PRINT));
+    scheduler.run(6_000);
+    assertThat(spent()).isEqualTo(15);
+  }
+
+  /** Guards against a buffer without bound while the platform is down. */
+  @Test
+  void refusesRequestsAtTheBoundAndFlushesLater() {
+    billing.start();
+    table.isDown = true;
+    List<Boolean> accepted = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      boolean hasRoom = billing.tryAcquire();
+      accepted.add(hasRoom);
+      if (hasRoom) {
+        Bill b = bill("q" + i, "r" + i, PRINT);
+        billing.record(b, new Reservation(b.reservationId(), "main", "holder", 100));
+      }
+    }
+    assertThat(accepted).filteredOn(a -> a).hasSize(150);
+    scheduler.run(60_000);
+    assertThat(billing.pending()).isEqualTo(150);
+    table.isDown = false;
+    scheduler.run(20_000);
+    assertThat(bills()).isEqualTo(150);
+    assertThat(billing.hasRoom()).isTrue();
+  }
+
+  /** Guards against a planned stop that loses bills. */
+  @Test
+  void stopFlushesTheBuffer() {
+    billing.start();
+    record(bill("q", "r", PRINT));
+    CompletableFuture<Void> stopped = billing.stop();
+    scheduler.run(100);
+    assertThat(stopped).isCompleted();
+    assertThat(bills()).isEqualTo(1);
+  }
+}
