--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/report/package-info.java
@@ -0,0 +1,2 @@
+/** Writing and reading of the counters of a day. */
+package org.hibiscusreel.coordination.report;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/config/PlatformFake.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/config/PlatformFake.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.port.Cancellable;
@@ -18,7 +19,7 @@
 import org.hibiscusreel.coordination.port.WriteResult;
 
 /** Platform and clock in memory. Write outcomes can be scripted. */
-final class PlatformFake implements Scheduler, TableService, ObjectStore {
+public final class PlatformFake implements Scheduler, TableService, ObjectStore {
 
   /** What happens to the next write. */
   enum Fault {
@@ -60,7 +61,18 @@
     return () -> tasks.remove(task);
   }
 
-  void advance(long millis) {
+  /** Returns the rows by key. */
+  public SortedMap<String, Row> rows() {
+    return rows;
+  }
+
+  /** Lets the next write take effect without an answer. */
+  public void loseNextAnswer() {
+    faults.add(Fault.ANSWER_LOST);
+  }
+
+  /** Runs the tasks of the next milliseconds. */
+  public void advance(long millis) {
     long end = now + millis;
     while (!tasks.isEmpty() && tasks.peek().at() <= end) {
       Task task = tasks.poll();
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/report/ClaimedRequest.java
@@ -0,0 +1,12 @@
+package org.hibiscusreel.core.report;
+
+import org.hibiscusreel.core.claim.ClaimRow;
+
+/**
+ * A claim with its key.
+ *
+ * @param account client account
+ * @param requestId request identifier
+ * @param row the claim
+ */
+public record ClaimedRequest(String account, String requestId, ClaimRow row) {}
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/report/Figure.java
@@ -0,0 +1,39 @@
+package org.hibiscusreel.core.report;
+
+import java.util.List;
+
+/**
+ * One figure of a report.
+ *
+ * @param title what is counted
+ * @param unit unit of the amount
+ * @param amount the amount as far as it is known
+ * @param worth worth of the requests concerned as far as it is known
+ * @param guaranteed whether an amount above 0 violates a guarantee
+ * @param unknownSites sites whose part is not yet known; empty if the figure is complete
+ * @param details what the amount consists of, bounded
+ */
+public record Figure(
+    String title,
+    String unit,
+    long amount,
+    double worth,
+    boolean guaranteed,
+    List<String> unknownSites,
+    List<String> details) {
+
+  /** Copies the lists. */
+  public Figure {
+    unknownSites = List.copyOf(unknownSites);
+    details = List.copyOf(details);
+  }
+
+  /**
+   * Tells whether the figure is complete.
+   *
+   * @return true if no site is missing
+   */
+  public boolean isKnown() {
+    return unknownSites.isEmpty();
+  }
+}
