Add the remaining commands of the operator program

Cause: operators need to check, compare, drain, confirm deaths, follow requests and make the report.

--- a/ctl/src/main/java/org/hibiscusreel/ctl/HibiscusreelCtl.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/HibiscusreelCtl.java
@@ -6,12 +6,22 @@
 import java.io.PrintStream;
 import java.util.Objects;
 import java.util.function.Function;
+import org.hibiscusreel.ctl.command.AccountCommands;
 import org.hibiscusreel.ctl.command.BudgetCommands;
+import org.hibiscusreel.ctl.command.CheckCommand;
 import org.hibiscusreel.ctl.command.Command;
 import org.hibiscusreel.ctl.command.CommandFailure;
+import org.hibiscusreel.ctl.command.DiffCommand;
 import org.hibiscusreel.ctl.command.ExitCodes;
+import org.hibiscusreel.ctl.command.HistoryCommand;
+import org.hibiscusreel.ctl.command.HostCommands;
 import org.hibiscusreel.ctl.command.PublishCommand;
+import org.hibiscusreel.ctl.command.ReportCommand;
+import org.hibiscusreel.ctl.command.RequestCommands;
 import org.hibiscusreel.ctl.command.Session;
+import org.hibiscusreel.ctl.command.ShowCommand;
+import org.hibiscusreel.ctl.command.TimelineCommand;
+import org.hibiscusreel.ctl.command.UpstreamCommands;
 import org.hibiscusreel.ctl.platform.Platform;
 
 /** Entry point of the operator program. */
@@ -118,12 +128,29 @@
     JCommander root = new JCommander(options);
     root.setProgramName(PROGRAM);
     root.setExpandAtSign(false);
-    root.addCommand("publish", new PublishCommand());
+    add(root, "check", new CheckCommand());
+    add(root, "diff", new DiffCommand());
+    add(root, "publish", new PublishCommand());
+    add(root, "history", new HistoryCommand());
+    add(root, "show", new ShowCommand());
+    JCommander accounts = group(root, "accounts");
+    add(accounts, "list", new AccountCommands.ListAccounts());
+    add(accounts, "new-key", new AccountCommands.NewKey());
     JCommander budgets = group(root, "budgets");
     add(budgets, "create", new BudgetCommands.Create());
     add(budgets, "top-up", new BudgetCommands.TopUp());
     add(budgets, "balance", new BudgetCommands.Balance());
     add(budgets, "set-lean", new BudgetCommands.SetLean());
+    JCommander upstreams = group(root, "upstreams");
+    add(upstreams, "drain", new UpstreamCommands.Drain());
+    add(upstreams, "return", new UpstreamCommands.Return());
+    JCommander hosts = group(root, "hosts");
+    add(hosts, "list", new HostCommands.ListHosts());
+    add(hosts, "confirm-dead", new HostCommands.ConfirmDead());
+    JCommander requests = group(root, "requests");
+    add(requests, "show", new RequestCommands.Show());
+    add(root, "timeline", new TimelineCommand());
+    add(root, "report", new ReportCommand());
     return root;
   }
 
--- a/ctl/src/main/java/org/hibiscusreel/ctl/command/ConfigurationChanges.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/ConfigurationChanges.java
@@ -89,7 +89,8 @@
         + version.note();
   }
 
-  private int report(PublishResult result, long base) {
+  /** Prints an outcome and returns the exit code. */
+  int report(PublishResult result, long base) {
     if (result instanceof PublishResult.Published done) {
       session.print("published version " + done.version() + " digest " + done.digest());
       return ExitCodes.OK;
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/RowKeys.java
@@ -0,0 +1,16 @@
+package org.hibiscusreel.ctl.command;
+
+import java.util.Arrays;
+import java.util.List;
+import org.hibiscusreel.coordination.platform.TableKeys;
+
+/** Takes keys of rows apart. */
+final class RowKeys {
+
+  private RowKeys() {}
+
+  /** Returns the unescaped parts of a key without its first one, the kind of row. */
+  static List<String> parts(String key) {
+    return Arrays.stream(key.split("/", -1)).skip(1).map(TableKeys::lastPart).toList();
+  }
+}
--- a/ctl/src/main/java/org/hibiscusreel/ctl/command/Session.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/Session.java
@@ -18,6 +18,7 @@
 public final class Session implements AutoCloseable {
 
   private static final int SCAN_LIMIT = 500;
+  private static final long RETRY_DELAY_MILLIS = 200;
 
   private final Supplier<Platform> connector;
   private final PrintStream out;
@@ -79,6 +80,13 @@
     return future.join();
   }
 
+  /** Waits a moment before a write is tried again. */
+  public void pause() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    platform().scheduler().schedule(RETRY_DELAY_MILLIS, () -> done.complete(null));
+    await(done);
+  }
+
   /**
    * Reads one row.
    *
--- /dev/null
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/TimelineCommand.java
@@ -0,0 +1,167 @@
+package org.hibiscusreel.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.platform.TableKeys;
+import org.hibiscusreel.coordination.port.ObjectStore;
+import org.hibiscusreel.coordination.port.Row;
+import org.hibiscusreel.core.recovery.IncarnationRow;
+import org.hibiscusreel.core.recovery.IncarnationState;
+import org.hibiscusreel.core.timeline.TimelineEvent;
+import org.hibiscusreel.core.timeline.Timelines;
+import org.hibiscusreel.ctl.platform.HttpReply;
+
+/** Shows the events of all daemons. */
+@Parameters(commandDescription = "Show the events of all daemons in causal order")
+public final class TimelineCommand extends Command {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+  private static final int MAX_PAGES = 100;
+
+  @Parameter(names = "--date", description = "Day in UTC, YYYY-MM-DD; default: today")
+  private String date;
+
+  @Parameter(names = "--request", description = "Only events of this request identifier")
+  private String request;
+
+  @Parameter(names = "--budget", description = "Only events of this budget")
+  private String budget;
+
+  @Parameter(names = "--host", description = "Only events of daemons on this host")
+  private String host;
+
+  @Parameter(names = "--kind", description = "Only events of this kind")
+  private String kind;
+
+  private final List<TimelineEvent> events = new ArrayList<>();
+  private boolean incomplete;
+
+  @Override
+  public int run(Session session) {
+    String day = Dates.orToday(date, session.platform().scheduler().wallMillis()).toString();
+    Map<String, IncarnationRow> incarnations = new HashMap<>();
+    for (Row row : session.scan("incarnation/")) {
+      incarnations.put(TableKeys.lastPart(row.key()), Json.read(row.value(), IncarnationRow.class));
+    }
+    incarnations.forEach(
+        (id, row) -> {
+          if (row.state() == IncarnationState.LIVE && isWanted(row)) {
+            readDaemon(session, id, row.adminAddress());
+          }
+        });
+    readObjects(session, day);
+    List<TimelineEvent> merged =
+        Timelines.merge(events, event -> isWanted(event, incarnations, day));
+    merged.forEach(event -> session.print(line(event)));
+    session.warn(merged.size() + " events" + (incomplete ? "; some could not be read" : ""));
+    return ExitCodes.OK;
+  }
+
+  private boolean isWanted(IncarnationRow row) {
+    return host == null || host.equals(row.host());
+  }
+
+  private boolean isWanted(
+      TimelineEvent event, Map<String, IncarnationRow> incarnations, String day) {
+    IncarnationRow row = incarnations.get(event.process());
+    return (request == null || request.equals(event.request()))
+        && (budget == null || budget.equals(event.budget()))
+        && (kind == null || kind.equals(event.kind()))
+        && (host == null || (row != null && host.equals(row.host())))
+        && Dates.of(event.at().wallMillis()).toString().equals(day);
+  }
+
+  /** Reads the newest events, which are not in the object store yet. */
+  private void readDaemon(Session session, String incarnation, String address) {
+    long after = 0;
+    for (int page = 0; page < MAX_PAGES; page++) {
+      URI uri = URI.create("http://" + address + "/events?after=" + after);
+      HttpReply reply = session.await(session.platform().get(uri));
+      if (!(reply instanceof HttpReply.Response response) || response.status() != OK) {
+        fail(session, incarnation + " at " + address + ": " + reply.describe());
+        return;
+      }
+      try {
+        JsonNode root = MAPPER.readTree(response.text());
+        for (JsonNode node : root.path("events")) {
+          events.add(Json.read(node.toString(), TimelineEvent.class));
+        }
+        long next = root.path("next").asLong(after);
+        if (next <= after) {
+          return;
+        }
+        after = next;
+      } catch (JsonProcessingException | UncheckedIOException e) {
+        fail(session, incarnation + " at " + address + ": malformed events");
+        return;
+      }
+    }
+  }
+
+  private void readObjects(Session session, String day) {
+    String prefix = "events/" + day + "/";
+    ObjectStore.ListResult listed = session.await(session.platform().objects().list(prefix));
+    if (!(listed instanceof ObjectStore.ListResult.Keys keys)) {
+      fail(session, "object store: " + ((ObjectStore.ListResult.Failed) listed).reason());
+      return;
+    }
+    for (String key : keys.keys()) {
+      if (session.await(session.platform().objects().get(key))
+          instanceof ObjectStore.GetResult.Found found) {
+        readLines(session, key, new String(found.body(), StandardCharsets.UTF_8));
+      } else {
+        fail(session, "object " + key + " can't be read");
+      }
+    }
+  }
+
+  private void readLines(Session session, String key, String text) {
+    for (String line : text.split("\n", -1)) {
+      if (!line.isBlank()) {
+        try {
+          events.add(Json.read(line, TimelineEvent.class));
+        } catch (UncheckedIOException e) {
+          fail(session, "object " + key + " has a malformed line");
+          return;
+        }
+      }
+    }
+  }
+
+  private void fail(Session session, String message) {
+    incomplete = true;
+    session.warn(message);
+  }
+
+  private static String line(TimelineEvent event) {
+    StringBuilder line = new StringBuilder();
+    line.append(Instant.ofEpochMilli(event.at().wallMillis()));
+    line.append('+').append(event.at().counter());
+    line.append(' ').append(event.process()).append(' ').append(event.kind());
+    append(line, "account", event.account());
+    append(line, "request", event.request());
+    append(line, "budget", event.budget());
+    append(line, "upstream", event.upstream());
+    append(line, "detail", event.detail());
+    return line.toString();
+  }
+
+  private static void append(StringBuilder line, String name, String value) {
+    if (!value.isEmpty()) {
+      line.append(' ').append(name).append("=\"").append(value).append('"');
+    }
+  }
+}
--- a/ctl/src/main/java/org/hibiscusreel/ctl/platform/Platform.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/Platform.java
@@ -1,6 +1,9 @@
 package org.hibiscusreel.ctl.platform;
 
+import java.net.URI;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.HostList;
 import org.hibiscusreel.coordination.port.ObjectStore;
@@ -14,6 +17,7 @@
   private final Supplier<TableService> table;
   private final Supplier<ObjectStore> objects;
   private final Supplier<HostList> hosts;
+  private final Function<URI, CompletableFuture<HttpReply>> http;
   private final Runnable release;
 
   /**
@@ -23,6 +27,7 @@
    * @param table gives the table service
    * @param objects gives the object store
    * @param hosts gives the host list
+   * @param http reads a page of a daemon's administrative service
    * @param release releases the threads
    * @throws NullPointerException if an argument is null
    */
@@ -31,11 +36,13 @@
       Supplier<TableService> table,
       Supplier<ObjectStore> objects,
       Supplier<HostList> hosts,
+      Function<URI, CompletableFuture<HttpReply>> http,
       Runnable release) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.table = Objects.requireNonNull(table, "table");
     this.objects = Objects.requireNonNull(objects, "objects");
     this.hosts = Objects.requireNonNull(hosts, "hosts");
+    this.http = Objects.requireNonNull(http, "http");
     this.release = Objects.requireNonNull(release, "release");
   }
 
@@ -60,6 +67,7 @@
         () -> new HttpTableService(sender, tableUrl.get()),
         () -> new HttpObjectStore(sender, objectsUrl.get()),
         () -> new HttpHostList(sender, hostsUrl.get()),
+        uri -> sender.send("GET", uri, new byte[0]),
         loop::close);
   }
 
@@ -99,6 +107,16 @@
     return hosts.get();
   }
 
+  /**
+   * Reads a page of a daemon's administrative service.
+   *
+   * @param uri the page
+   * @return the outcome
+   */
+  public CompletableFuture<HttpReply> get(URI uri) {
+    return http.apply(uri);
+  }
+
   @Override
   public void close() {
     release.run();
