--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/ServiceRole.java
@@ -0,0 +1,81 @@
+package org.hibiscusreel.bench.standin;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A plain service that runs each call it receives and doesn't recognize repeated ones. */
+final class ServiceRole implements Role {
+
+  private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
+
+  /** One run. */
+  record Run(String key, String method, long atMillis) {}
+
+  private final Gate gate;
+  private final Faults faults;
+  private final int runMillis;
+  private final List<Run> runs = new ArrayList<>();
+  private final Map<String, Integer> counts = new LinkedHashMap<>();
+
+  ServiceRole(Gate gate, Faults faults, int runMillis) {
+    this.gate = gate;
+    this.faults = faults;
+    this.runMillis = runMillis;
+  }
+
+  @Override
+  public boolean serves(String path) {
+    return !path.startsWith("/v1/");
+  }
+
+  @Override
+  public boolean isWrite(HttpRequest request) {
+    return request.getMethod() == HttpMethod.POST;
+  }
+
+  @Override
+  public Promise<HttpResponse> serve(HttpRequest request, String path, byte[] body) {
+    if (!isWrite(request)) {
+      return Http.error(405, "only POST").toPromise();
+    }
+    String key = String.valueOf(request.getHeader(KEY));
+    String method = path.substring(1);
+    runs.add(new Run(key, method, System.currentTimeMillis()));
+    int count = counts.merge(key + " " + method, 1, Integer::sum);
+    if (!faults.crashMarker.isEmpty()
+        && new String(body, StandardCharsets.UTF_8).contains(faults.crashMarker)) {
+      gate.crash();
+      return new SettablePromise<>();
+    }
+    HttpResponse receipt =
+        Http.json(200, Map.of("receipt", receipt(key, method), "method", method, "run", count));
+    return Promises.delay(runMillis, receipt);
+  }
+
+  /**
+   * Returns the receipt of a call, the same for each run.
+   *
+   * @param key idempotency key
+   * @param method method
+   * @return hexadecimal text
+   */
+  static String receipt(String key, String method) {
+    return Generation.sha256(key + "\n" + method);
+  }
+
+  @Override
+  public Object observed() {
+    return Map.of("runs", runs, "run_counts", counts);
+  }
+}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, model engines and plain services, run as real processes. */
+package org.hibiscusreel.bench.standin;
