--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -28,6 +28,27 @@
   private CompletableFuture<Void> stopping;
   private boolean started;
 
+  /**
+   * Creates a node.
+   *
+   * @param settings settings of the daemon
+   * @param ports what it works with
+   */
+  public CoordinationNode(NodeSettings settings, NodePorts ports) {
+    this(settings, ports, NodeDecorators.none());
+  }
+
+  /**
+   * Creates a node with some services wrapped or replaced.
+   *
+   * @param settings settings of the daemon
+   * @param ports what it works with
+   * @param decorators wrap the services
+   */
+  public CoordinationNode(NodeSettings settings, NodePorts ports, NodeDecorators decorators) {
+    this(settings, ports, (s, p, r, m) -> new PlatformServices(s, p, r, m, decorators));
+  }
+
   /** Builds a node around the services that work with the platform. */
   CoordinationNode(NodeSettings settings, NodePorts ports, NodeServices.Factory factory) {
     this.settings = settings;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ServiceCallTask.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.budget.ReservationResult;
 import org.hibiscusreel.coordination.claim.Claim;
-import org.hibiscusreel.coordination.platform.Futures;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.port.PlainServiceClient;
 import org.hibiscusreel.core.config.ServiceMethod;
 import org.hibiscusreel.core.config.UpstreamKind;
@@ -45,7 +45,7 @@
       return future;
     }
     long wait = Reserving.waitMillis(ticket);
-    Futures.accept(
+    FutureCallbacks.onValue(
         context
             .budgets()
             .reserve(request.key(), request.budget(), ticket.terms().worstCase(), wait),
@@ -88,7 +88,7 @@
     UpstreamState instance = chosen.get();
     instance.begin(request.fingerprint(), false);
     if (method.repeatable()) {
-      Futures.accept(call(instance), r -> onRepeatable(instance, r));
+      FutureCallbacks.onValue(call(instance), r -> onRepeatable(instance, r));
     } else {
       new ClaimedCall(context, this, instance).start();
     }
@@ -162,9 +162,20 @@
 
   /** Ends the call with an outcome of the service, now or of an earlier attempt. */
   void answer(int status, String contentType, byte[] body) {
-    bill(context, ticket, method, status);
-    ticket.end(false, Optional.empty());
-    future.complete(new ServiceOutcome.Answered(status, contentType, body));
+    FutureCallbacks.onValue(
+        bill(status),
+        done -> {
+          ticket.end(false, Optional.empty());
+          future.complete(new ServiceOutcome.Answered(status, contentType, body));
+        });
+  }
+
+  private CompletableFuture<Void> bill(int status) {
+    if (status < FIRST_FAILURE_STATUS) {
+      return ticket.billDurably(0, method.costTokens());
+    }
+    ticket.closeUnbilled();
+    return CompletableFuture.completedFuture(null);
   }
 
   /** Bills a call by its outcome; a failure of the service is not billed. */
