Keep copies of bills with peers while the platform takes none

Change: KeepBills leaves copies with up to three peers of two failure domains before the caller is answered; a keeper bills from a reservation of its own once the server has ended.

--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FakePeers.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FakePeers.java
@@ -14,6 +14,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.ProbeIndirectRequest;
@@ -169,6 +171,12 @@
       return call(address, request, timeoutMillis, PeerHandler::reportCrashes);
     }
 
+    @Override
+    public CompletableFuture<Optional<KeepBillsResponse>> keepBills(
+        String address, KeepBillsRequest request, long timeoutMillis) {
+      return call(address, request, timeoutMillis, PeerHandler::keepBills);
+    }
+
     @Override
     public CompletableFuture<Optional<LookUpRequestResponse>> lookUpRequest(
         String address, LookUpRequestRequest request, long timeoutMillis) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -41,6 +41,7 @@
   private final BudgetReservations reservations;
   private final EventRecorder events;
   private final int maxBufferedBills;
+  private final BillBackup backup;
   private final BillWriter writer;
   private final Backoff backoff;
 
@@ -66,6 +67,7 @@
    * @param reservations closes the reservations of bills
    * @param events records the time line
    * @param random source of random bits
+   * @param backup keeps copies of bills that must not be lost while the platform takes none
    * @param maxBufferedBills largest number of bills that wait for the platform, positive
    */
   public BillingService(
@@ -74,6 +76,7 @@
       BudgetReservations reservations,
       EventRecorder events,
       LongSupplier random,
+      BillBackup backup,
       int maxBufferedBills) {
     if (maxBufferedBills <= 0) {
       throw new IllegalArgumentException(
@@ -82,6 +85,7 @@
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.reservations = Objects.requireNonNull(reservations, "reservations");
     this.events = Objects.requireNonNull(events, "events");
+    this.backup = Objects.requireNonNull(backup, "backup");
     this.maxBufferedBills = maxBufferedBills;
     this.writer = new BillWriter(table);
     this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
@@ -166,14 +170,30 @@
     durable.put(bill.reservationId(), written);
     record(bill, reservation);
     if (failures > 0) {
-      completeDurable(bill.reservationId());
+      copyDurable(bill.reservationId());
     } else {
       scheduler.schedule(DURABLE_FLUSH_MILLIS, this::flush);
-      scheduler.schedule(DURABLE_TIMEOUT_MILLIS, () -> completeDurable(bill.reservationId()));
+      scheduler.schedule(DURABLE_TIMEOUT_MILLIS, () -> copyDurable(bill.reservationId()));
     }
     return written;
   }
 
+  /** Leaves a copy with a peer instead of waiting longer for the platform. */
+  private void copyDurable(String reservationId) {
+    PendingBill waiting = pending.get(reservationId);
+    if (waiting == null || !durable.containsKey(reservationId)) {
+      return;
+    }
+    FutureCallbacks.onValue(
+        backup.copy(waiting.bill()),
+        isKept -> {
+          Bill b = waiting.bill();
+          String kind = isKept ? "bill_copied" : "bill_not_copied";
+          events.record(kind, b.account(), b.requestId(), b.budget(), "", "");
+          completeDurable(reservationId);
+        });
+  }
+
   private void completeDurable(String reservationId) {
     CompletableFuture<Void> written = durable.remove(reservationId);
     if (written != null) {
@@ -206,7 +226,7 @@
     if (pending.isEmpty()) {
       completeStops();
     } else if (!isProgress) {
-      List.copyOf(durable.keySet()).forEach(this::completeDurable);
+      List.copyOf(durable.keySet()).forEach(this::copyDurable);
       isRetrying = true;
       scheduler.schedule(backoff.delayMillis(failures), this::retry);
     } else if (!isRunning || isIncomplete(attempt) || isFlushDue()) {
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/PeerBillBackup.java
@@ -0,0 +1,105 @@
+package org.hibiscusreel.coordination.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.membership.MemberInfo;
+import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
+import org.hibiscusreel.coordination.port.PeerTransport;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.ledger.Bill;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
+import org.hibiscusreel.wire.KeptBill;
+
+/**
+ * Sends copies of bills to up to three peers, at least one of them in another failure domain if
+ * there is one, so that the loss of a whole failure domain does not lose the bill.
+ */
+public final class PeerBillBackup implements BillBackup {
+
+  private static final int OWN_DOMAIN_COPIES = 2;
+  private static final long TIMEOUT_MILLIS = 500;
+
+  private final PeerTransport peers;
+  private final MembershipView membership;
+  private final EventRecorder events;
+
+  /**
+   * Creates the sender.
+   *
+   * @param peers calls other daemons
+   * @param membership the other daemons
+   * @param events stamps messages and records the time line
+   */
+  public PeerBillBackup(PeerTransport peers, MembershipView membership, EventRecorder events) {
+    this.peers = Objects.requireNonNull(peers, "peers");
+    this.membership = Objects.requireNonNull(membership, "membership");
+    this.events = Objects.requireNonNull(events, "events");
+  }
+
+  @Override
+  public CompletableFuture<Boolean> copy(Bill bill) {
+    CompletableFuture<Boolean> kept = new CompletableFuture<>();
+    List<MemberInfo> targets = targets(bill);
+    if (targets.isEmpty()) {
+      kept.complete(false);
+      return kept;
+    }
+    KeepBillsRequest request =
+        KeepBillsRequest.newBuilder().setStamp(events.stamp()).addBills(toMessage(bill)).build();
+    int[] missing = {targets.size()};
+    for (MemberInfo m : targets) {
+      FutureCallbacks.onValue(
+          peers.keepBills(m.peerAddress(), request, TIMEOUT_MILLIS),
+          response -> onResponse(kept, missing, response));
+    }
+    return kept;
+  }
+
+  private static void onResponse(
+      CompletableFuture<Boolean> kept, int[] missing, Optional<KeepBillsResponse> response) {
+    missing[0]--;
+    if (response.isPresent() && response.get().getKept()) {
+      kept.complete(true);
+    } else if (missing[0] == 0) {
+      kept.complete(false);
+    }
+  }
+
+  private List<MemberInfo> targets(Bill bill) {
+    String own = membership.self().failureDomain();
+    List<MemberInfo> targets = new ArrayList<>();
+    membership.rank(own, bill.reservationId()).stream()
+        .filter(m -> !m.incarnation().equals(membership.self().incarnation()))
+        .limit(OWN_DOMAIN_COPIES)
+        .forEach(targets::add);
+    membership.alive().stream()
+        .map(MemberInfo::failureDomain)
+        .filter(d -> !d.equals(own))
+        .sorted()
+        .findFirst()
+        .ifPresent(d -> targets.add(membership.rank(d, bill.reservationId()).get(0)));
+    return targets;
+  }
+
+  private static KeptBill toMessage(Bill bill) {
+    return KeptBill.newBuilder()
+        .setAccount(bill.account())
+        .setRequestId(bill.requestId())
+        .setBudget(bill.budget())
+        .setServer(bill.server())
+        .setTarget(bill.target())
+        .setTokens(bill.tokens())
+        .setWorth(bill.worth())
+        .setSite(bill.site())
+        .setFingerprint(bill.fingerprint())
+        .setArrivedAtMillis(bill.arrivedAtMillis())
+        .setFinishedAtMillis(bill.finishedAtMillis())
+        .setLateMillis(bill.lateMillis())
+        .build();
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodePeerHandler.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodePeerHandler.java
@@ -10,6 +10,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.ProbeIndirectRequest;
@@ -81,4 +83,9 @@
   public CompletableFuture<LookUpRequestResponse> lookUpRequest(LookUpRequestRequest request) {
     return CompletableFuture.completedFuture(requests.lookUpRequest(request));
   }
+
+  @Override
+  public CompletableFuture<KeepBillsResponse> keepBills(KeepBillsRequest request) {
+    return CompletableFuture.completedFuture(services.keepBills(request));
+  }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
@@ -13,6 +13,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.ReleaseRequest;
 import org.hibiscusreel.wire.ReleaseResponse;
 import org.hibiscusreel.wire.ReserveRequest;
@@ -74,4 +76,6 @@
 
   CompletableFuture<FetchConfigurationResponse> fetchConfiguration(
       FetchConfigurationRequest request);
+
+  KeepBillsResponse keepBills(KeepBillsRequest request);
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -9,6 +9,8 @@
 import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.ledger.Billing;
 import org.hibiscusreel.coordination.ledger.BillingService;
+import org.hibiscusreel.coordination.ledger.KeptBills;
+import org.hibiscusreel.coordination.ledger.PeerBillBackup;
 import org.hibiscusreel.coordination.membership.MembershipService;
 import org.hibiscusreel.coordination.membership.PeerVersionListener;
 import org.hibiscusreel.coordination.recovery.RecoveryService;
@@ -18,6 +20,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.ReleaseRequest;
 import org.hibiscusreel.wire.ReleaseResponse;
 import org.hibiscusreel.wire.ReserveRequest;
@@ -32,6 +36,7 @@
   private final BillingService billing;
   private final ClaimService claims;
   private final RecoveryService recovery;
+  private final KeptBills keptBills;
   private final BudgetReservations decoratedBudgets;
   private final Billing decoratedBilling;
   private final Claims decoratedClaims;
@@ -71,6 +76,7 @@
             decoratedBudgets,
             recorder,
             ports.random(),
+            new PeerBillBackup(ports.peers(), membership, recorder),
             settings.maxBufferedBills());
     decoratedBilling = decorators.billing().apply(billing);
     claims =
@@ -81,6 +87,14 @@
             ports.random(),
             settings.self().incarnation());
     decoratedClaims = decorators.claims().apply(claims);
+    keptBills =
+        new KeptBills(
+            ports.scheduler(),
+            ports.table(),
+            decoratedBudgets,
+            decoratedBilling,
+            recorder,
+            settings.self().incarnation());
     recovery =
         new RecoveryService(
             ports.scheduler(),
@@ -153,10 +167,12 @@
     budgets.start();
     billing.start();
     recovery.start();
+    keptBills.start();
   }
 
   @Override
   public CompletableFuture<Void> flush() {
+    keptBills.stop();
     return CompletableFuture.allOf(billing.stop(), claims.stop());
   }
 
@@ -195,4 +211,9 @@
       FetchConfigurationRequest request) {
     return configuration.fetchConfiguration(request);
   }
+
+  @Override
+  public KeepBillsResponse keepBills(KeepBillsRequest request) {
+    return keptBills.handleKeepBills(request);
+  }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/PeerHandler.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/PeerHandler.java
@@ -7,6 +7,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.ProbeIndirectRequest;
@@ -50,4 +52,7 @@
 
   /** Handles a question about a request. */
   CompletableFuture<LookUpRequestResponse> lookUpRequest(LookUpRequestRequest request);
+
+  /** Handles copies of bills. */
+  CompletableFuture<KeepBillsResponse> keepBills(KeepBillsRequest request);
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/PeerTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/PeerTransport.java
@@ -8,6 +8,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.ProbeIndirectRequest;
@@ -62,4 +64,8 @@
   /** Asks what a peer knows about a request. */
   CompletableFuture<Optional<LookUpRequestResponse>> lookUpRequest(
       String address, LookUpRequestRequest request, long timeoutMillis);
+
+  /** Leaves copies of bills at a peer. */
+  CompletableFuture<Optional<KeepBillsResponse>> keepBills(
+      String address, KeepBillsRequest request, long timeoutMillis);
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/ledger/BillingServiceTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/ledger/BillingServiceTest.java
@@ -29,13 +29,19 @@
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final FakeTable table = new FakeTable(scheduler);
   private final Map<String, Long> closed = new TreeMap<>();
+  private final List<Bill> copied = new ArrayList<>();
+  private final BillBackup copies =
+      b -> {
+        copied.add(b);
+        return CompletableFuture.completedFuture(true);
+      };
   private final BillingService billing = billing("server");
 
   private BillingService billing(String server) {
     EventRecorder recorder =
         new EventRecorder(new HybridClock(scheduler::wallMillis), server, e -> {});
     return new BillingService(
-        scheduler, table, new Closings(), recorder, new Random(5)::nextLong, 150);
+        scheduler, table, new Closings(), recorder, new Random(5)::nextLong, copies, 150);
   }
 
   /** Records which reservations were closed, and fails if one is closed twice. */
@@ -103,6 +109,38 @@
     assertThat(closed).hasSize(50).allSatisfy((id, tokens) -> assertThat(tokens).isEqualTo(10));
   }
 
+  private CompletableFuture<Void> recordDurably(Bill bill) {
+    assertThat(billing.tryAcquire()).isTrue();
+    return billing.recordDurably(
+        bill, new Reservation(bill.reservationId(), "main", "holder", 100));
+  }
+
+  /** Guards against an answer whose bill dies with the daemon. */
+  @Test
+  void tellsOnceTheBillIsInThePlatform() {
+    billing.start();
+    CompletableFuture<Void> written = recordDurably(bill("q", "r", PRINT));
+    assertThat(written).isNotDone();
+    scheduler.run(200);
+    assertThat(written).isDone();
+    assertThat(bills()).isEqualTo(1);
+    assertThat(copied).isEmpty();
+  }
+
+  /** Guards against an answer that waits for the whole outage, and against a lost bill. */
+  @Test
+  void leavesCopyWhileThePlatformIsDown() {
+    billing.start();
+    table.isDown = true;
+    CompletableFuture<Void> written = recordDurably(bill("q", "r", PRINT));
+    scheduler.run(1_500);
+    assertThat(written).isDone();
+    assertThat(copied).extracting(Bill::requestId).containsOnly("q");
+    table.isDown = false;
+    scheduler.run(30_000);
+    assertThat(bills()).isEqualTo(1);
+  }
+
   /** Guards against billing one request for two attempts, in one flush or in two. */
   @Test
   void billsAnotherAttemptOfTheSameRequestWithZero() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
@@ -60,7 +60,14 @@
           new AllotmentService(
               clock, ownTable, peers, view, configuration, recorder, random::nextLong, 500);
       this.billing =
-          new BillingService(clock, ownTable, allotments, recorder, random::nextLong, 1_000);
+          new BillingService(
+              clock,
+              ownTable,
+              allotments,
+              recorder,
+              random::nextLong,
+              b -> CompletableFuture.completedFuture(false),
+              1_000);
       allotments.start();
       allotments.markRegistered();
       billing.start();
