--- a/coordination/src/main/java/org/hibiscusreel/coordination/membership/MembershipService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/membership/MembershipService.java
@@ -287,7 +287,7 @@
             .setSender(Members.toWire(table.self()))
             .setConfigurationVersion(configurationVersion.getAsLong())
             .addAllLeavingUpstreams(leaving.encode());
-    table.gossip(receiver).forEach(u -> b.addUpdates(Members.toWire(u)));
+    table.gossip(receiver, scheduler.nowMillis()).forEach(u -> b.addUpdates(Members.toWire(u)));
     return b.build();
   }
 
@@ -333,7 +333,9 @@
             .setConfigurationVersion(configurationVersion.getAsLong())
             .addAllLeavingUpstreams(leaving.encode());
     List<MemberUpdate> updates =
-        joins ? table.snapshot() : table.gossip(request.getSender().getIncarnation());
+        joins
+            ? table.snapshot()
+            : table.gossip(request.getSender().getIncarnation(), scheduler.nowMillis());
     updates.forEach(u -> b.addUpdates(Members.toWire(u)));
     return CompletableFuture.completedFuture(b.setStamp(recorder.stamp()).build());
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
@@ -25,7 +25,10 @@
 final class CrashMonitor {
   private static final long REPORT_TIMEOUT_MILLIS = 1_000;
 
-  /** Engines that break within this time are taken for a failure of the link. */
+  /**
+   * Engines that break within this time are taken for a failure of the link, unless a request of
+   * one was moved to the other.
+   */
   private static final long LINK_FAILURE_MILLIS = 500;
 
   /** Streams of one engine that break within this time were executed together. */
@@ -82,11 +85,15 @@
     breaks.put(engine.upstream().name(), new Break(now, engine.cohort(), alone));
   }
 
-  /** The streams that broke can't be resumed: the engine lost them, or can't be reached. */
-  void onNotResumable(UpstreamState engine) {
+  /**
+   * The streams that broke can't be resumed.
+   *
+   * @param restarted whether the engine answers but no longer knows them
+   */
+  void onNotResumable(UpstreamState engine, boolean restarted) {
     String name = engine.upstream().name();
     Break b = breaks.get(name);
-    if (b == null || b.reported || isLinkFailure(name, b)) {
+    if (b == null || b.reported || (!restarted && isLinkFailure(name, b))) {
       return;
     }
     b.reported = true;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/EngineAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/EngineAttempt.java
@@ -50,6 +50,7 @@
   private long connection;
   private int resumes;
   private boolean started;
+  private boolean broken;
   private boolean paused;
   private boolean ended;
   private long startedAt;
@@ -153,6 +154,7 @@
     }
     armStall();
     resumes = 0;
+    broken = false;
     if (!started) {
       started = true;
       engine.onDelay(elapsedMillis(), context.scheduler().nowMillis());
@@ -165,7 +167,7 @@
     if (failure instanceof EngineFailure.Broken b) {
       onBroken(b.reason());
     } else if (failure instanceof EngineFailure.StreamLost s) {
-      notResumable(s.reason());
+      notResumable(s.reason(), true);
     } else if (first) {
       finish();
       if (failure instanceof EngineFailure.NotStarted) {
@@ -175,17 +177,17 @@
     } else if (failure instanceof EngineFailure.NotStarted n) {
       onBroken(n.reason());
     } else {
-      notResumable("the engine refused to resume the stream");
+      notResumable("the engine refused to resume the stream", false);
     }
   }
 
   private void onBroken(String reason) {
-    context.crashes().onBroken(engine);
+    noteBreak();
     stall.cancel();
     connection++;
     int limit = listener.isMovable() ? MOVABLE_RESUMES : RESUME_MILLIS.length;
     if (resumes >= limit) {
-      notResumable(reason);
+      notResumable(reason, false);
       return;
     }
     long delay = RESUME_MILLIS[resumes];
@@ -193,6 +195,14 @@
     resume = context.scheduler().schedule(delay, this::resume);
   }
 
+  /** Tells of the first break since the last chunk; failed resumptions are no further breaks. */
+  private void noteBreak() {
+    if (!broken) {
+      broken = true;
+      context.crashes().onBroken(engine);
+    }
+  }
+
   private void resume() {
     if (ended) {
       return;
@@ -202,9 +212,9 @@
     connect((engines, l) -> engines.resume(upstream(), streamId, offset, l));
   }
 
-  private void notResumable(String reason) {
-    context.crashes().onBroken(engine);
-    context.crashes().onNotResumable(engine);
+  private void notResumable(String reason, boolean restarted) {
+    noteBreak();
+    context.crashes().onNotResumable(engine, restarted);
     engine.onRefusal(context.scheduler().nowMillis());
     finish();
     listener.onLost(reason);
@@ -222,7 +232,7 @@
       if (call != null) {
         call.cancel();
       }
-      notResumable("no chunk came for " + STALL_MILLIS + " ms");
+      notResumable("no chunk came for " + STALL_MILLIS + " ms", false);
     }
   }
 
--- a/core/src/main/java/org/hibiscusreel/core/membership/MemberTable.java
+++ b/core/src/main/java/org/hibiscusreel/core/membership/MemberTable.java
@@ -20,12 +20,14 @@
 
   private static final class Entry {
     MemberUpdate update;
+    final long firstSeenAt;
     long changedAt;
     long heardAt;
     int sent;
 
     Entry(MemberUpdate update, long now) {
       this.update = update;
+      this.firstSeenAt = now;
       this.changedAt = now;
       this.heardAt = Long.MIN_VALUE;
     }
@@ -222,9 +224,10 @@
    * updates. What is believed of the receiver is always included if it needs a refutation.
    *
    * @param receiver incarnation of the receiver, or empty if unknown
+   * @param now monotonic time in milliseconds
    * @return the statements, bounded in number
    */
-  public List<MemberUpdate> gossip(String receiver) {
+  public List<MemberUpdate> gossip(String receiver, long now) {
     Map<String, MemberUpdate> chosen = new LinkedHashMap<>();
     Entry target = entries.get(receiver);
     if (target != null && isAccusation(target.update)) {
@@ -243,7 +246,9 @@
       chosen.put(e.update.incarnation(), e.update);
     }
     List<Entry> all = new ArrayList<>(entries.values());
-    for (int i = 0; i < limits.maxRefresh() && !all.isEmpty(); i++) {
+    boolean young = target != null && now - target.firstSeenAt < limits.youngMillis();
+    int refresh = young ? limits.maxYoungRefresh() : limits.maxRefresh();
+    for (int i = 0; i < refresh && !all.isEmpty(); i++) {
       MemberUpdate u = all.get(index(all.size())).update;
       chosen.put(u.incarnation(), u);
     }
--- a/core/src/main/java/org/hibiscusreel/core/membership/MembershipLimits.java
+++ b/core/src/main/java/org/hibiscusreel/core/membership/MembershipLimits.java
@@ -7,6 +7,9 @@
  * @param tombstoneMillis time that a dead member is remembered, in milliseconds
  * @param maxUpdates largest number of recent updates in one message
  * @param maxRefresh largest number of further members in one message, which repair lost updates
+ * @param youngMillis time after which a member is not new any more, in milliseconds
+ * @param maxYoungRefresh largest number of further members in a message to a new member, which
+ *     fills its table when many daemons start together
  * @param maxMembers largest number of members in a response to a joining daemon
  * @param maxPauseMillis longest gap between two ticks that does not count as a pause of this
  *     process, in milliseconds
@@ -16,6 +19,8 @@
     long tombstoneMillis,
     int maxUpdates,
     int maxRefresh,
+    long youngMillis,
+    int maxYoungRefresh,
     int maxMembers,
     long maxPauseMillis) {
   /**
@@ -25,6 +30,6 @@
    * @return the defaults
    */
   public static MembershipLimits defaults() {
-    return new MembershipLimits(6_000, 600_000, 8, 2, 512, 2_500);
+    return new MembershipLimits(6_000, 600_000, 8, 2, 60_000, 64, 512, 2_500);
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/membership/MemberTableTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/membership/MemberTableTest.java
@@ -45,7 +45,7 @@
     assertThat(statusOf("a")).isEqualTo(MemberStatus.SUSPECT);
     runUntil(LIMITS.suspicionMillis(), LIMITS.suspicionMillis());
     assertThat(statusOf("a")).isEqualTo(MemberStatus.DEAD);
-    assertThat(table.gossip("a")).anyMatch(u -> u.status() == MemberStatus.DEAD);
+    assertThat(table.gossip("a", 7_000)).anyMatch(u -> u.status() == MemberStatus.DEAD);
     table.merge(member("a", "a:1").with(MemberStatus.ALIVE, 1), 7_000);
     assertThat(statusOf("a")).isEqualTo(MemberStatus.ALIVE);
   }
@@ -81,7 +81,7 @@
     }
     int passed = 0;
     for (int i = 0; i < 5_000; i++) {
-      int n = table.gossip("").size();
+      int n = table.gossip("", 0).size();
       assertThat(n).isLessThanOrEqualTo(LIMITS.maxUpdates() + LIMITS.maxRefresh());
       passed += n > LIMITS.maxRefresh() ? 1 : 0;
     }
