Run the merged services under the request and membership tests

Cause: recovery and durable bills changed the contracts that the harness implements. Change: the harness records durable bills; registration is decided by the allotment service alone.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -178,10 +178,7 @@
    * @return false before a configuration is in force, and once the node is stopping
    */
   public boolean isReady() {
-    return started
-        && stopping == null
-        && services.isRegistered()
-        && services.configuration().current().isPresent();
+    return started && stopping == null && services.configuration().current().isPresent();
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
@@ -50,9 +50,6 @@
 
   long tokensHeld();
 
-  /** Tells whether the incarnation is registered, so that its reservations are accounted for. */
-  boolean isRegistered();
-
   void start();
 
   /** Writes what is buffered: bills, outcomes of claims, counters. */
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -142,11 +142,6 @@
     return budgets.tokensHeld();
   }
 
-  @Override
-  public boolean isRegistered() {
-    return true;
-  }
-
   @Override
   public void start() {
     configuration.start();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/request/RequestHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/request/RequestHarness.java
@@ -279,6 +279,12 @@
     bills.add(bill);
   }
 
+  @Override
+  public CompletableFuture<Void> recordDurably(Bill bill, Reservation reservation) {
+    record(bill, reservation);
+    return CompletableFuture.completedFuture(null);
+  }
+
   @Override
   public CompletableFuture<ClaimResult> claim(RequestKey key, String fingerprint, long wait) {
     claimCalls.add("claim");
