--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -53,6 +53,7 @@
   private Cancellable timer = () -> {};
   private int acquired;
   private int failures;
+  private int flushing;
   private boolean isRunning;
   private boolean isFlushing;
   private boolean isRetrying;
@@ -185,6 +186,7 @@
       return;
     }
     isFlushing = true;
+    flushing = pending.size();
     BillBatch batch = BillBatch.select(pending.values(), FLUSH_ROWS);
     FutureCallbacks.onValue(writer.write(batch), attempt -> complete(batch, attempt));
   }
@@ -207,7 +209,7 @@
       List.copyOf(durable.keySet()).forEach(this::completeDurable);
       isRetrying = true;
       scheduler.schedule(backoff.delayMillis(failures), this::retry);
-    } else if (!isRunning || isPartial(batch, attempt) || isFlushDue()) {
+    } else if (!isRunning || isIncomplete(attempt) || isFlushDue()) {
       flush();
     }
   }
@@ -216,8 +218,13 @@
     return pending.size() >= FLUSH_ROWS || !durable.isEmpty();
   }
 
-  private static boolean isPartial(BillBatch batch, BillWriter.Attempt attempt) {
-    return attempt.outcomes().size() < batch.bills().size();
+  /** Returns true if bills that waited when the flush began are still not resolved. */
+  private boolean isIncomplete(BillWriter.Attempt attempt) {
+    return attempt.outcomes().stream().filter(BillingService::isResolved).count() < flushing;
+  }
+
+  private static boolean isResolved(BillWriter.Outcome outcome) {
+    return outcome.verdict() != PendingBill.Verdict.OTHER_REQUEST;
   }
 
   private void retry() {
@@ -228,7 +235,7 @@
   private void settle(BillWriter.Outcome outcome) {
     Bill bill = outcome.pending().bill();
     String id = bill.reservationId();
-    if (outcome.verdict() == PendingBill.Verdict.OTHER_REQUEST) {
+    if (!isResolved(outcome)) {
       pending.put(id, outcome.pending().withFingerprintKey());
       return;
     }
