--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/platform/FutureCallbacks.java
@@ -0,0 +1,71 @@
+package org.hibiscusreel.coordination.platform;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** Callbacks of futures whose faults are logged instead of being lost. */
+public final class FutureCallbacks {
+
+  private static final Logger LOGGER = System.getLogger(FutureCallbacks.class.getName());
+
+  private FutureCallbacks() {}
+
+  /**
+   * Runs an action with the value of a future.
+   *
+   * @param future the future
+   * @param action runs when the future completes; not run if it completes exceptionally
+   * @param <T> type of the value
+   */
+  public static <T> void onValue(CompletableFuture<T> future, Consumer<? super T> action) {
+    var unused =
+        future
+            .thenAccept(action)
+            .exceptionally(
+                fault -> {
+                  LOGGER.log(Level.ERROR, "a callback failed", fault);
+                  return null;
+                });
+  }
+
+  /**
+   * Runs an action when a future ends, also if it ends exceptionally.
+   *
+   * @param future the future
+   * @param action the action
+   */
+  public static void onEnd(CompletableFuture<Void> future, Runnable action) {
+    onValue(
+        future.exceptionally(
+            fault -> {
+              LOGGER.log(Level.ERROR, "a task failed", fault);
+              return null;
+            }),
+        done -> action.run());
+  }
+
+  /**
+   * Runs an asynchronous action for each element, one after the other.
+   *
+   * @param elements the elements
+   * @param action the action
+   * @param <T> type of the elements
+   * @return completes after the last action
+   */
+  public static <T> CompletableFuture<Void> inOrder(
+      Iterable<? extends T> elements, Function<? super T, CompletableFuture<Void>> action) {
+    return next(elements.iterator(), action);
+  }
+
+  private static <T> CompletableFuture<Void> next(
+      Iterator<? extends T> rest, Function<? super T, CompletableFuture<Void>> action) {
+    if (!rest.hasNext()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return action.apply(rest.next()).thenCompose(done -> next(rest, action));
+  }
+}
