Add the demonstration as processes under faults

Cause: the invariants need a check of the real processes, not only of the simulation. Change: ./bench demo starts stand-ins and four daemons, loads them, injects faults and checks.

--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
@@ -0,0 +1,273 @@
+package org.hibiscusreel.bench.demo;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.hibiscusreel.bench.check.Observations;
+import org.hibiscusreel.bench.check.Outcome;
+import org.hibiscusreel.bench.check.PromiseChecker;
+import org.hibiscusreel.bench.check.Violation;
+import org.hibiscusreel.core.request.Ran;
+
+/** Runs the whole system as processes on loopback under faults and checks the outcome. */
+public final class Demo {
+
+  private static final String KILLED = "cr-a-1";
+  private static final String FROZEN = "cr-b-1";
+  private static final String STOPPED = "cr-b-2";
+  private static final long BUDGET_TOKENS = 5_000_000;
+  private static final int READY_SECONDS = 20;
+  private static final int SETTLE_SECONDS = 15;
+
+  @Parameter(names = "--root", required = true, description = "root of the workspace")
+  private String root = "";
+
+  @Parameter(names = "--rate", description = "requests a second")
+  private int rate = 15;
+
+  @Parameter(names = "--seed", description = "seed of the load")
+  private long seed = 1;
+
+  private final PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
+  private final long begin = System.nanoTime();
+
+  private Demo() {}
+
+  /**
+   * Runs the demonstration and exits with 1 if a promise is broken.
+   *
+   * @param args {@code --root}, {@code --rate}, {@code --seed}
+   * @throws Exception if a process can't be started or doesn't become ready
+   */
+  public static void main(String[] args) throws Exception {
+    Demo demo = new Demo();
+    JCommander.newBuilder().addObject(demo).programName("./bench demo").build().parse(args);
+    Path directory = Files.createTempDirectory("hibiscusreel-demo");
+    boolean holds;
+    try (Processes processes = new Processes(directory)) {
+      holds = demo.run(processes, directory);
+    }
+    System.exit(holds ? 0 : 1);
+  }
+
+  private boolean run(Processes processes, Path directory) throws Exception {
+    say("logs are in " + directory);
+    Topology t = new Topology(directory);
+    Evidence evidence = new Evidence(t);
+    startStandIns(processes, t, evidence);
+    publish(processes, t);
+    for (String host : t.callers.keySet()) {
+      startDaemon(processes, t, host);
+    }
+    for (String host : t.callers.keySet()) {
+      awaitReady(evidence, t.admins.get(host), "/readyz");
+    }
+    say("4 daemons are ready");
+    DemoLoad load = new DemoLoad(t, seed);
+    load.start(rate);
+    int exit = injectFaults(processes, t, evidence);
+    load.stop();
+    say("the load ended");
+    boolean settled = awaitBills(evidence, load.attempts());
+    out.println(processes.run(ctl(t, "report")));
+    Observations seen = evidence.collect(load.attempts(), settled);
+    List<Violation> violations = PromiseChecker.check(seen);
+    boolean isStopWhole = summarize(load.attempts(), seen) && exit == 0;
+    violations.forEach(v -> out.println("BROKEN " + v.promise() + ": " + v.detail()));
+    say(violations.isEmpty() && settled && isStopWhole ? "every promise holds" : "FAILED");
+    return violations.isEmpty() && settled && isStopWhole;
+  }
+
+  private void startStandIns(Processes processes, Topology t, Evidence evidence) throws Exception {
+    standIn(processes, "platform", "table,objects,hosts", t.platform);
+    for (Map.Entry<String, String> e : t.engines.entrySet()) {
+      standIn(processes, e.getKey(), "engine", e.getValue());
+    }
+    for (Map.Entry<String, String> e : t.services.entrySet()) {
+      standIn(processes, e.getKey(), "service", e.getValue());
+    }
+    List<String> addresses = new ArrayList<>(List.of(t.platform));
+    addresses.addAll(t.engines.values());
+    addresses.addAll(t.services.values());
+    for (String a : addresses) {
+      awaitReady(evidence, a, "/faults");
+    }
+    say(addresses.size() + " stand-ins are ready");
+  }
+
+  private static void standIn(Processes processes, String name, String role, String address)
+      throws Exception {
+    processes.start(
+        name,
+        List.of(
+            ProcessHandle.current().info().command().orElse("java"),
+            "-Xmx128m",
+            "-XX:+UseSerialGC",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.hibiscusreel.bench.standin.StandIn",
+            "--role",
+            role,
+            "--listen",
+            address));
+  }
+
+  private void publish(Processes processes, Topology t) throws Exception {
+    processes.run(
+        ctl(
+            t,
+            "publish",
+            "--base",
+            t.writeBase().toString(),
+            "--overlay",
+            Topology.SITE + "=" + t.writeOverlay(),
+            "--author",
+            "demo",
+            "--note",
+            "first version"));
+    for (String account : Topology.ACCOUNTS) {
+      processes.run(
+          ctl(
+              t,
+              "budgets",
+              "create",
+              "--account",
+              account,
+              "--tokens",
+              Long.toString(BUDGET_TOKENS),
+              "--id",
+              "first-" + account,
+              Topology.budget(account)));
+    }
+    say("the configuration is published and the budgets are created");
+  }
+
+  private List<String> ctl(Topology t, String... words) {
+    List<String> command = new ArrayList<>(List.of(root + "/bin/hibiscusreelctl"));
+    int verbs = words[0].equals("budgets") ? 2 : 1;
+    command.addAll(List.of(words).subList(0, verbs));
+    command.addAll(List.of("--platform", "http://" + t.platform));
+    command.addAll(List.of(words).subList(verbs, words.length));
+    return command;
+  }
+
+  private void startDaemon(Processes processes, Topology t, String host) throws Exception {
+    processes.start(
+        host, List.of(root + "/bin/hibiscusreel", "--settings", t.writeSettings(host).toString()));
+  }
+
+  /** Kills, freezes, restarts and stops daemons; returns the exit code of the stopped one. */
+  private int injectFaults(Processes processes, Topology t, Evidence evidence) throws Exception {
+    TimeUnit.SECONDS.sleep(3);
+    processes.signal(KILLED, "KILL");
+    say("killed " + KILLED);
+    TimeUnit.SECONDS.sleep(2);
+    processes.signal(FROZEN, "STOP");
+    say("froze " + FROZEN);
+    TimeUnit.SECONDS.sleep(2);
+    startDaemon(processes, t, KILLED);
+    TimeUnit.SECONDS.sleep(2);
+    processes.signal(FROZEN, "CONT");
+    say("resumed " + FROZEN);
+    awaitReady(evidence, t.admins.get(KILLED), "/readyz");
+    say("restarted " + KILLED);
+    TimeUnit.SECONDS.sleep(3);
+    processes.signal(STOPPED, "TERM");
+    say("told " + STOPPED + " to stop");
+    boolean isOver = processes.get(STOPPED).waitFor(READY_SECONDS, TimeUnit.SECONDS);
+    int exit = isOver ? processes.get(STOPPED).exitValue() : -1;
+    say(STOPPED + (isOver ? " exited with " + exit : " did not exit"));
+    TimeUnit.SECONDS.sleep(1);
+    return exit;
+  }
+
+  private static void awaitReady(Evidence evidence, String address, String path)
+      throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+    while (evidence.status(address, path) != 200) {
+      if (System.nanoTime() > end) {
+        throw new IllegalStateException(address + path + " is not ready");
+      }
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+  }
+
+  /** Waits until each request that was answered has a bill row; returns whether all have. */
+  private boolean awaitBills(Evidence evidence, List<DemoAttempt> attempts) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
+    while (true) {
+      Map<String, String> bills = evidence.rows("bill/");
+      List<DemoAttempt> missing =
+          attempts.stream()
+              .filter(a -> a.outcome() instanceof Outcome.Whole)
+              .filter(a -> !bills.containsKey("bill/" + a.call().account() + "/" + a.call().id()))
+              .toList();
+      if (missing.isEmpty()) {
+        say("all bills are in the platform");
+        return true;
+      }
+      if (System.nanoTime() > end) {
+        missing.forEach(a -> out.println("NOT BILLED " + a.host() + " " + a.call().id()));
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(250);
+    }
+  }
+
+  /** Prints counts; returns whether the gracefully stopped daemon interrupted no request. */
+  private boolean summarize(List<DemoAttempt> attempts, Observations seen) {
+    Map<String, Long> outcomes =
+        attempts.stream()
+            .collect(Collectors.groupingBy(Demo::name, TreeMap::new, Collectors.counting()));
+    long requests = attempts.stream().map(a -> a.call().id()).distinct().count();
+    long served =
+        attempts.stream()
+            .filter(a -> a.outcome() instanceof Outcome.Whole)
+            .map(a -> a.call().id())
+            .distinct()
+            .count();
+    say(requests + " requests, " + served + " served, attempts by outcome " + outcomes);
+    say(
+        seen.bills().size()
+            + " bills, "
+            + seen.engineRuns().size()
+            + " generations, "
+            + seen.serviceRuns().size()
+            + " service runs");
+    List<DemoAttempt> interrupted =
+        attempts.stream()
+            .filter(a -> a.host().equals(STOPPED) && isInterrupted(a.outcome()))
+            .toList();
+    interrupted.forEach(
+        a -> out.println("BROKEN graceful stop: " + a.call().id() + " " + a.outcome()));
+    return interrupted.isEmpty();
+  }
+
+  private static boolean isInterrupted(Outcome outcome) {
+    return outcome instanceof Outcome.Broken
+        || (outcome instanceof Outcome.Refused r
+            && r.ran() != Ran.NO
+            && !r.code().equals("in_progress"));
+  }
+
+  private static String name(DemoAttempt a) {
+    if (a.outcome() instanceof Outcome.Refused r) {
+      return r.code() + "/" + r.ran().toField();
+    }
+    return a.outcome().getClass().getSimpleName();
+  }
+
+  private void say(String text) {
+    double seconds = (System.nanoTime() - begin) / 1e9;
+    out.printf("%5.1f s  %s%n", seconds, text);
+  }
+}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/DemoCall.java
@@ -0,0 +1,60 @@
+package org.hibiscusreel.bench.demo;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Random;
+import org.hibiscusreel.bench.standin.Generation;
+
+/**
+ * One request of the load.
+ *
+ * @param id the idempotency key
+ * @param account client account
+ * @param kind what is called
+ * @param body body of the request
+ * @param expected the whole answer, recomputed from the request alone
+ */
+record DemoCall(String id, String account, Kind kind, String body, String expected) {
+
+  /** What is called. */
+  enum Kind {
+    WHOLE,
+    STREAMED,
+    LOOK_UP,
+    SIGN
+  }
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Creates the request with a number, the same for the same seed. */
+  static DemoCall of(int number, long seed) {
+    Random random = new Random(seed + number);
+    String id = "demo-" + seed + "-" + number;
+    String account = Topology.ACCOUNTS.get(random.nextInt(Topology.ACCOUNTS.size()));
+    int roll = random.nextInt(10);
+    if (roll >= 7) {
+      Kind kind = roll == 7 ? Kind.LOOK_UP : Kind.SIGN;
+      String method = kind == Kind.SIGN ? "sign" : "look-up";
+      String body = "{\"batch\":" + number + "}";
+      return new DemoCall(id, account, kind, body, Generation.receipt(id, method));
+    }
+    ObjectNode b = MAPPER.createObjectNode().put("model", Topology.MODEL);
+    b.put("stream", roll >= 3).put("max_tokens", 30 + random.nextInt(170));
+    String prompt = "Summarize the release record of batch " + number;
+    b.putArray("messages").addObject().put("role", "user").put("content", prompt);
+    Kind kind = roll >= 3 ? Kind.STREAMED : Kind.WHOLE;
+    return new DemoCall(id, account, kind, b.toString(), Generation.of(b).text());
+  }
+
+  boolean isService() {
+    return kind == Kind.LOOK_UP || kind == Kind.SIGN;
+  }
+
+  String path() {
+    return switch (kind) {
+      case LOOK_UP -> "/v1/services/release-records/look-up";
+      case SIGN -> "/v1/services/release-records/sign";
+      default -> "/v1/chat/completions";
+    };
+  }
+}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Topology.java
@@ -0,0 +1,153 @@
+package org.hibiscusreel.bench.demo;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hibiscusreel.bench.standin.Generation;
+
+/** Names, addresses and files of the demonstration: two failure domains with two daemons each. */
+final class Topology {
+
+  static final String SITE = "costa-rica";
+  static final String MODEL = "release-writer";
+  static final List<String> DOMAINS = List.of("cr-a", "cr-b");
+  static final List<String> ACCOUNTS = List.of("laboratorio-uno", "laboratorio-dos");
+
+  /** Base URLs of the daemons' caller API by host, in order. */
+  final Map<String, String> callers = new LinkedHashMap<>();
+
+  /** Base URLs of the daemons' admin API by host. */
+  final Map<String, String> admins = new LinkedHashMap<>();
+
+  final Map<String, String> engines = new LinkedHashMap<>();
+  final Map<String, String> services = new LinkedHashMap<>();
+  final String platform;
+  private final Path directory;
+  private final Map<String, String> peers = new LinkedHashMap<>();
+
+  Topology(Path directory) throws IOException {
+    this.directory = directory;
+    List<String> free = freeAddresses(19);
+    this.platform = free.remove(0);
+    for (String domain : DOMAINS) {
+      for (int i = 1; i <= 2; i++) {
+        engines.put("engine-" + domain + "-" + i, free.remove(0));
+        callers.put(domain + "-" + i, free.remove(0));
+        admins.put(domain + "-" + i, free.remove(0));
+        peers.put(domain + "-" + i, free.remove(0));
+      }
+      services.put("records-" + domain, free.remove(0));
+    }
+  }
+
+  private static List<String> freeAddresses(int count) throws IOException {
+    List<ServerSocket> open = new ArrayList<>();
+    List<String> addresses = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      open.add(s);
+      addresses.add("127.0.0.1:" + s.getLocalPort());
+    }
+    for (ServerSocket s : open) {
+      s.close();
+    }
+    return addresses;
+  }
+
+  static String key(String account) {
+    return "key-of-" + account;
+  }
+
+  static String budget(String account) {
+    return account + "-main";
+  }
+
+  Path writeSettings(String host) throws IOException {
+    String seeds =
+        String.join(
+            ", ",
+            peers.entrySet().stream()
+                .filter(e -> !e.getKey().equals(host))
+                .map(e -> quote(e.getValue()))
+                .toList());
+    String text =
+        """
+        [host]
+        name = "%s"
+        failure_domain = "%s"
+        site = "%s"
+        [listen]
+        callers = "%s"
+        admin = "%s"
+        peers = "%s"
+        [platform]
+        table = "http://%s"
+        objects = "http://%s"
+        hosts = "http://%s"
+        [peers]
+        seeds = [%s]
+        [limits]
+        max_body_bytes = 1048576
+        max_buffered_bills = 20000
+        max_connections = 12000
+        drain_timeout_ms = 15000
+        [log]
+        level = "INFO"
+        """
+            .formatted(
+                host,
+                host.substring(0, host.lastIndexOf('-')),
+                SITE,
+                callers.get(host),
+                admins.get(host),
+                peers.get(host),
+                platform,
+                platform,
+                platform,
+                seeds);
+    return Files.writeString(directory.resolve(host + ".toml"), text);
+  }
+
+  Path writeBase() throws IOException {
+    StringBuilder b = new StringBuilder();
+    b.append("[serving]\ndeadline_ms = 30000\nworth = 1.0\npriority = 0\nmax_tokens = 512\n");
+    b.append("[sites.costa-rica]\nfailure_domains = [\"cr-a\", \"cr-b\"]\n");
+    b.append("[models.release-writer]\nmax_tokens = 4096\nmax_concurrent = 0\n");
+    engines.forEach((n, a) -> upstream(b, n, "engine", a, MODEL));
+    services.forEach((n, a) -> upstream(b, n, "service", a, "release-records"));
+    b.append("[services.release-records.methods.sign]\nrepeatable = false\n");
+    b.append("cost_tokens = 50\nworth = 20.0\ndeadline_ms = 10000\n");
+    b.append("[services.release-records.methods.look-up]\nrepeatable = true\n");
+    b.append("cost_tokens = 5\nworth = 2.0\ndeadline_ms = 10000\n");
+    for (String a : ACCOUNTS) {
+      b.append("[accounts.").append(a).append("]\nkey_sha256 = [");
+      b.append(quote(Generation.sha256(key(a)))).append("]\nbudgets = [");
+      b.append(quote(budget(a))).append("]\nmax_concurrent = 0\nrequests_per_second = 0.0\n");
+    }
+    return Files.writeString(directory.resolve("base.toml"), b);
+  }
+
+  Path writeOverlay() throws IOException {
+    return Files.writeString(directory.resolve("overlay.toml"), "[serving]\ndeadline_ms = 20000\n");
+  }
+
+  private static void upstream(
+      StringBuilder b, String name, String kind, String address, String serves) {
+    String domain = name.contains("cr-a") ? "cr-a" : "cr-b";
+    b.append("[upstreams.").append(name).append("]\nkind = ").append(quote(kind));
+    b.append("\naddress = ").append(quote(address));
+    b.append("\nfailure_domain = ").append(quote(domain));
+    b.append("\nsite = ").append(quote(SITE)).append("\nserves = [").append(quote(serves));
+    b.append("]\nmax_concurrent = 64\nchecks_fencing = true\nleaving = false\n");
+  }
+
+  private static String quote(String text) {
+    return '"' + text + '"';
+  }
+}
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/standin/Generation.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/Generation.java
@@ -134,6 +134,17 @@
     }
   }
 
+  /**
+   * Returns the receipt that a plain service answers, the same for each run of a call.
+   *
+   * @param key idempotency key
+   * @param method method
+   * @return hexadecimal text
+   */
+  public static String receipt(String key, String method) {
+    return sha256(key + "\n" + method);
+  }
+
   /** The finalizer of SplitMix64. */
   private static long mix(long z) {
     long a = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/standin/ServiceRole.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/ServiceRole.java
@@ -59,21 +59,12 @@
       return Promise.ofException(new IOException("crashed"));
     }
     HttpResponse receipt =
-        Http.json(200, Map.of("receipt", receipt(key, method), "method", method, "run", count));
+        Http.json(
+            200,
+            Map.of("receipt", Generation.receipt(key, method), "method", method, "run", count));
     return Promises.delay(runMillis, receipt);
   }
 
-  /**
-   * Returns the receipt of a call, the same for each run.
-   *
-   * @param key idempotency key
-   * @param method method
-   * @return hexadecimal text
-   */
-  static String receipt(String key, String method) {
-    return Generation.sha256(key + "\n" + method);
-  }
-
   @Override
   public Object observed() {
     return Map.of("runs", runs, "run_counts", counts);
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/standin/UpstreamStandInTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/standin/UpstreamStandInTest.java
@@ -197,7 +197,7 @@
       s.faults("{\"lose_next\":1}");
       assertThat(s.status("POST", "/sign", "{}", "Idempotency-Key", "k1")).isEqualTo(-1);
       String receipt = s.call("POST", "/sign", "{}", "Idempotency-Key", "k1").body();
-      assertThat(receipt).contains("\"run\":2").contains(ServiceRole.receipt("k1", "sign"));
+      assertThat(receipt).contains("\"run\":2").contains(Generation.receipt("k1", "sign"));
       assertThat(s.json("GET", "/observed", "").path("runs")).hasSize(2);
     }
   }
