--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -61,24 +60,18 @@
 
   private boolean run(Processes processes, Path directory) throws Exception {
     say("logs are in " + directory);
-    Topology t = new Topology(directory);
+    Topology t = new Topology(directory, List.of("cr-a", "cr-b"), 2, 64);
     Evidence evidence = new Evidence(t);
-    startStandIns(processes, t, evidence);
-    publish(processes, t);
-    for (String host : t.callers.keySet()) {
-      startDaemon(processes, t, host);
-    }
-    for (String host : t.callers.keySet()) {
-      awaitReady(evidence, t.admins.get(host), "/readyz");
-    }
+    Fleet fleet = new Fleet(root, processes, t);
+    fleet.start(BUDGET_TOKENS, List.of());
     say("4 daemons are ready");
     DemoLoad load = new DemoLoad(t, seed);
     load.start(rate);
-    int exit = injectFaults(processes, t, evidence);
+    int exit = injectFaults(processes, fleet);
     load.stop();
     say("the load ended");
     boolean settled = awaitBills(evidence, load.attempts());
-    out.println(processes.run(ctl(t, "report")));
+    out.println(fleet.ctl("report"));
     Observations seen = evidence.collect(load.attempts(), settled);
     List<Violation> violations = PromiseChecker.check(seen);
     boolean isStopWhole = summarize(load.attempts(), seen) && exit == 0;
@@ -87,86 +80,8 @@
     return violations.isEmpty() && settled && isStopWhole;
   }
 
-  private void startStandIns(Processes processes, Topology t, Evidence evidence) throws Exception {
-    standIn(processes, "platform", "table,objects,hosts", t.platform);
-    for (Map.Entry<String, String> e : t.engines.entrySet()) {
-      standIn(processes, e.getKey(), "engine", e.getValue());
-    }
-    for (Map.Entry<String, String> e : t.services.entrySet()) {
-      standIn(processes, e.getKey(), "service", e.getValue());
-    }
-    List<String> addresses = new ArrayList<>(List.of(t.platform));
-    addresses.addAll(t.engines.values());
-    addresses.addAll(t.services.values());
-    for (String a : addresses) {
-      awaitReady(evidence, a, "/faults");
-    }
-    say(addresses.size() + " stand-ins are ready");
-  }
-
-  private static void standIn(Processes processes, String name, String role, String address)
-      throws Exception {
-    processes.start(
-        name,
-        List.of(
-            ProcessHandle.current().info().command().orElse("java"),
-            "-Xmx128m",
-            "-XX:+UseSerialGC",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "org.hibiscusreel.bench.standin.StandIn",
-            "--role",
-            role,
-            "--listen",
-            address));
-  }
-
-  private void publish(Processes processes, Topology t) throws Exception {
-    processes.run(
-        ctl(
-            t,
-            "publish",
-            "--base",
-            t.writeBase().toString(),
-            "--overlay",
-            Topology.SITE + "=" + t.writeOverlay(),
-            "--author",
-            "demo",
-            "--note",
-            "first version"));
-    for (String account : Topology.ACCOUNTS) {
-      processes.run(
-          ctl(
-              t,
-              "budgets",
-              "create",
-              "--account",
-              account,
-              "--tokens",
-              Long.toString(BUDGET_TOKENS),
-              "--id",
-              "first-" + account,
-              Topology.budget(account)));
-    }
-    say("the configuration is published and the budgets are created");
-  }
-
-  private List<String> ctl(Topology t, String... words) {
-    List<String> command = new ArrayList<>(List.of(root + "/bin/hibiscusreelctl"));
-    int verbs = words[0].equals("budgets") ? 2 : 1;
-    command.addAll(List.of(words).subList(0, verbs));
-    command.addAll(List.of("--platform", "http://" + t.platform));
-    command.addAll(List.of(words).subList(verbs, words.length));
-    return command;
-  }
-
-  private void startDaemon(Processes processes, Topology t, String host) throws Exception {
-    processes.start(
-        host, List.of(root + "/bin/hibiscusreel", "--settings", t.writeSettings(host).toString()));
-  }
-
   /** Kills, freezes, restarts and stops daemons; returns the exit code of the stopped one. */
-  private int injectFaults(Processes processes, Topology t, Evidence evidence) throws Exception {
+  private int injectFaults(Processes processes, Fleet fleet) throws Exception {
     TimeUnit.SECONDS.sleep(3);
     processes.signal(KILLED, "KILL");
     say("killed " + KILLED);
@@ -174,11 +89,11 @@
     processes.signal(FROZEN, "STOP");
     say("froze " + FROZEN);
     TimeUnit.SECONDS.sleep(2);
-    startDaemon(processes, t, KILLED);
+    fleet.startDaemon(KILLED);
     TimeUnit.SECONDS.sleep(2);
     processes.signal(FROZEN, "CONT");
     say("resumed " + FROZEN);
-    awaitReady(evidence, t.admins.get(KILLED), "/readyz");
+    fleet.awaitDaemon(KILLED);
     say("restarted " + KILLED);
     TimeUnit.SECONDS.sleep(3);
     processes.signal(STOPPED, "TERM");
@@ -190,17 +105,6 @@
     return exit;
   }
 
-  private static void awaitReady(Evidence evidence, String address, String path)
-      throws InterruptedException {
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
-    while (evidence.status(address, path) != 200) {
-      if (System.nanoTime() > end) {
-        throw new IllegalStateException(address + path + " is not ready");
-      }
-      TimeUnit.MILLISECONDS.sleep(100);
-    }
-  }
-
   /** Waits until each request that was answered has a bill row; returns whether all have. */
   private boolean awaitBills(Evidence evidence, List<DemoAttempt> attempts) throws Exception {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Topology.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Topology.java
@@ -11,32 +11,51 @@
 import java.util.Map;
 import org.hibiscusreel.bench.standin.Generation;
 
-/** Names, addresses and files of the demonstration: two failure domains with two daemons each. */
-final class Topology {
+/** Names, addresses and files of a set of processes on loopback. */
+public final class Topology {
 
   static final String SITE = "costa-rica";
-  static final String MODEL = "release-writer";
-  static final List<String> DOMAINS = List.of("cr-a", "cr-b");
-  static final List<String> ACCOUNTS = List.of("laboratorio-uno", "laboratorio-dos");
 
-  /** Base URLs of the daemons' caller API by host, in order. */
-  final Map<String, String> callers = new LinkedHashMap<>();
+  /** The model that all engines serve. */
+  public static final String MODEL = "release-writer";
 
-  /** Base URLs of the daemons' admin API by host. */
+  /** All client accounts. */
+  public static final List<String> ACCOUNTS = List.of("laboratorio-uno", "laboratorio-dos");
+
+  /** Addresses of the caller API of the daemons by host, in order. */
+  public final Map<String, String> callers = new LinkedHashMap<>();
+
+  /** Addresses of the admin API of the daemons by host. */
   final Map<String, String> admins = new LinkedHashMap<>();
 
-  final Map<String, String> engines = new LinkedHashMap<>();
+  /** Addresses of the engines by name. */
+  public final Map<String, String> engines = new LinkedHashMap<>();
+
   final Map<String, String> services = new LinkedHashMap<>();
   final String platform;
   private final Path directory;
+  private final List<String> domains;
+  private final int maxConcurrent;
   private final Map<String, String> peers = new LinkedHashMap<>();
 
-  Topology(Path directory) throws IOException {
+  /**
+   * Chooses free ports.
+   *
+   * @param directory directory of the settings and configuration files
+   * @param domains failure domains, with one plain service each
+   * @param perDomain daemons and engines of each failure domain
+   * @param maxConcurrent requests that a daemon may have at one upstream
+   * @throws IOException if there are no free ports
+   */
+  public Topology(Path directory, List<String> domains, int perDomain, int maxConcurrent)
+      throws IOException {
     this.directory = directory;
-    List<String> free = freeAddresses(19);
+    this.domains = domains;
+    this.maxConcurrent = maxConcurrent;
+    List<String> free = freeAddresses(1 + domains.size() * (1 + 4 * perDomain));
     this.platform = free.remove(0);
-    for (String domain : DOMAINS) {
-      for (int i = 1; i <= 2; i++) {
+    for (String domain : domains) {
+      for (int i = 1; i <= perDomain; i++) {
         engines.put("engine-" + domain + "-" + i, free.remove(0));
         callers.put(domain + "-" + i, free.remove(0));
         admins.put(domain + "-" + i, free.remove(0));
@@ -60,7 +79,13 @@
     return addresses;
   }
 
-  static String key(String account) {
+  /**
+   * Returns the client key of an account.
+   *
+   * @param account client account
+   * @return the key
+   */
+  public static String key(String account) {
     return "key-of-" + account;
   }
 
@@ -117,7 +142,8 @@
   Path writeBase() throws IOException {
     StringBuilder b = new StringBuilder();
     b.append("[serving]\ndeadline_ms = 30000\nworth = 1.0\npriority = 0\nmax_tokens = 512\n");
-    b.append("[sites.costa-rica]\nfailure_domains = [\"cr-a\", \"cr-b\"]\n");
+    b.append("[sites.costa-rica]\nfailure_domains = [");
+    b.append(String.join(", ", domains.stream().map(Topology::quote).toList())).append("]\n");
     b.append("[models.release-writer]\nmax_tokens = 4096\nmax_concurrent = 0\n");
     engines.forEach((n, a) -> upstream(b, n, "engine", a, MODEL));
     services.forEach((n, a) -> upstream(b, n, "service", a, "release-records"));
@@ -137,14 +163,15 @@
     return Files.writeString(directory.resolve("overlay.toml"), "[serving]\ndeadline_ms = 20000\n");
   }
 
-  private static void upstream(
-      StringBuilder b, String name, String kind, String address, String serves) {
-    String domain = name.contains("cr-a") ? "cr-a" : "cr-b";
+  private void upstream(StringBuilder b, String name, String kind, String address, String serves) {
+    String domain = domains.stream().filter(name::contains).findFirst().orElseThrow();
     b.append("[upstreams.").append(name).append("]\nkind = ").append(quote(kind));
     b.append("\naddress = ").append(quote(address));
     b.append("\nfailure_domain = ").append(quote(domain));
     b.append("\nsite = ").append(quote(SITE)).append("\nserves = [").append(quote(serves));
-    b.append("]\nmax_concurrent = 64\nchecks_fencing = true\nleaving = false\n");
+    b.append("]\nmax_concurrent = ")
+        .append(maxConcurrent)
+        .append("\nchecks_fencing = true\nleaving = false\n");
   }
 
   private static String quote(String text) {
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load generator. */
+package org.hibiscusreel.bench.load;
