Await the load through its own future

Cause: Error Prone refuses an ignored future. Change: OpenLoop gives its future out instead of returning it from run.

--- a/bench-tools/src/main/java/org/hibiscusreel/bench/load/Load.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/load/Load.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.hibiscusreel.bench.demo.Fleet;
 import org.hibiscusreel.bench.demo.Processes;
 import org.hibiscusreel.bench.demo.Topology;
@@ -107,13 +108,11 @@
 
   private LoadFigures phase(List<String> targets, String name, double time)
       throws InterruptedException, ExecutionException {
-    CompletableFuture<LoadFigures> done = new CompletableFuture<>();
-    loop.execute(
-        () ->
-            new OpenLoop(loop, targets, name + "-" + System.currentTimeMillis(), tokens, seed)
-                .run(rate, time)
-                .whenComplete((f, e) -> done.complete(f)));
-    return done.get();
+    String run = name + "-" + System.currentTimeMillis();
+    Supplier<OpenLoop> create = () -> new OpenLoop(loop, targets, run, tokens, seed);
+    OpenLoop load = CompletableFuture.supplyAsync(create, loop).get();
+    loop.execute(() -> load.run(rate, time));
+    return load.done().get();
   }
 
   /** Opens long streams and compares the resident memory before and while they are open. */
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/load/OpenLoop.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/load/OpenLoop.java
@@ -66,10 +66,14 @@
             .build();
   }
 
-  /** Sends at a rate for a time; completes when all responses ended. */
-  CompletableFuture<LoadFigures> run(double perSecond, double seconds) {
+  /** Sends at a rate, in requests a second, for a time. */
+  void run(double perSecond, double seconds) {
     long begin = System.nanoTime();
     next(begin, begin + (long) (seconds * 1e9), perSecond);
+  }
+
+  /** Returns the figures once all responses ended. */
+  CompletableFuture<LoadFigures> done() {
     return done;
   }
 
