--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpCalls.java
@@ -60,7 +60,9 @@
             .withConnectTimeout(CONNECT_TIMEOUT)
             .withMaxBodySize(MAX_ANSWER)
             .withReadWriteTimeout(reuseConnections ? SHARED_TIMEOUT : Duration.ZERO)
+            // ActiveJ 6.0-rc2 confuses the two inspectors of a client, so both are set.
             .withSocketInspector(tracker.socketInspector())
+            .withSocketSslInspector(tracker.socketInspector())
             .withInspector(tracker.clientInspector());
     this.client =
         (reuseConnections ? b.withKeepAliveTimeout(KEEP_ALIVE) : b.withNoKeepAlive()).build();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/loop/EventLoopScheduler.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/loop/EventLoopScheduler.java
@@ -35,7 +35,9 @@
   @Override
   public Cancellable schedule(long delayMillis, Runnable task) {
     // Background tasks don't keep the loop alive, so that pending timers can't delay an exit.
-    ScheduledRunnable s = reactor.delayBackground(Math.max(0, delayMillis), task);
+    // The loop counts from the start of its turn, so that a long turn would shorten the delay.
+    long turnMillis = Math.max(0, System.currentTimeMillis() - reactor.currentTimeMillis());
+    ScheduledRunnable s = reactor.delayBackground(Math.max(0, delayMillis) + turnMillis, task);
     return () -> {
       if (s.isActive()) {
         s.cancel();
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
@@ -0,0 +1,221 @@
+package org.hibiscusreel.daemon.peer;
+
+import io.grpc.Server;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.channel.ChannelOption;
+import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.hibiscusreel.coordination.port.PeerHandler;
+import org.hibiscusreel.wire.CrashReport;
+import org.hibiscusreel.wire.CrashReportResponse;
+import org.hibiscusreel.wire.FetchConfigurationRequest;
+import org.hibiscusreel.wire.FetchConfigurationResponse;
+import org.hibiscusreel.wire.HandOverRequest;
+import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.LookUpRequestRequest;
+import org.hibiscusreel.wire.LookUpRequestResponse;
+import org.hibiscusreel.wire.PeerGrpc;
+import org.hibiscusreel.wire.ProbeIndirectRequest;
+import org.hibiscusreel.wire.ProbeIndirectResponse;
+import org.hibiscusreel.wire.ProbeRequest;
+import org.hibiscusreel.wire.ProbeResponse;
+import org.hibiscusreel.wire.ReleaseRequest;
+import org.hibiscusreel.wire.ReleaseResponse;
+import org.hibiscusreel.wire.ReserveRequest;
+import org.hibiscusreel.wire.ReserveResponse;
+import org.hibiscusreel.wire.SettleRequest;
+import org.hibiscusreel.wire.SettleResponse;
+
+/**
+ * Serves the calls of other daemons. The bound port is also the lock of the host: as long as one
+ * process listens, no second one can, which proves that an earlier process is gone.
+ */
+public final class GrpcPeerServer {
+
+  /** A book of many budgets is the largest message. */
+  private static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+  private static final int MAX_CALLS_PER_CONNECTION = 1000;
+  private static final long MIN_PING_SECONDS = 5;
+  private static final long STOP_MILLIS = 2000;
+  private static final Logger LOG = System.getLogger(GrpcPeerServer.class.getName());
+
+  private final Executor eventLoop;
+  private final EventLoopGroup boss = new NioEventLoopGroup(1);
+  private final EventLoopGroup workers = new NioEventLoopGroup(1);
+  private final Server server;
+  private volatile PeerHandler handler;
+
+  /**
+   * Creates a server that is not started yet.
+   *
+   * @param address address to bind
+   * @param credentials credentials of the server
+   * @param eventLoop runs tasks on the event loop
+   * @throws NullPointerException if an argument is null
+   */
+  public GrpcPeerServer(
+      InetSocketAddress address, PeerCredentials credentials, Executor eventLoop) {
+    this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
+    // The plain NIO transport has no SO_REUSEPORT. SO_REUSEADDR is set off as well; a bound
+    // listener then excludes every other one on the same address.
+    this.server =
+        NettyServerBuilder.forAddress(address, credentials.server())
+            .channelType(NioServerSocketChannel.class)
+            .bossEventLoopGroup(boss)
+            .workerEventLoopGroup(workers)
+            .withOption(ChannelOption.SO_REUSEADDR, false)
+            .directExecutor()
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .maxConcurrentCallsPerConnection(MAX_CALLS_PER_CONNECTION)
+            .permitKeepAliveTime(MIN_PING_SECONDS, TimeUnit.SECONDS)
+            .permitKeepAliveWithoutCalls(true)
+            .addService(new Service())
+            .build();
+  }
+
+  /**
+   * Binds the port. Calls are refused until {@link #serve} is called.
+   *
+   * @throws IOException if the port is taken
+   */
+  public void start() throws IOException {
+    try {
+      server.start();
+    } catch (IOException e) {
+      close(boss);
+      close(workers);
+      throw e;
+    }
+  }
+
+  /**
+   * Starts to serve calls.
+   *
+   * @param handler answers the calls, on the event loop
+   * @throws NullPointerException if the argument is null
+   */
+  public void serve(PeerHandler handler) {
+    this.handler = Objects.requireNonNull(handler, "handler");
+  }
+
+  /**
+   * Returns the bound port.
+   *
+   * @return port number
+   */
+  public int port() {
+    return server.getPort();
+  }
+
+  /** Stops the server and releases the port. Blocks for at most a few seconds. */
+  public void stop() {
+    server.shutdown();
+    try {
+      if (!server.awaitTermination(STOP_MILLIS, TimeUnit.MILLISECONDS)) {
+        server.shutdownNow();
+        server.awaitTermination(STOP_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    close(boss);
+    close(workers);
+  }
+
+  private static void close(EventLoopGroup group) {
+    var unused = group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private <R> void dispatch(
+      StreamObserver<R> observer, Function<PeerHandler, CompletableFuture<R>> call) {
+    PeerHandler h = handler;
+    if (h == null) {
+      observer.onError(Status.UNAVAILABLE.withDescription("starting").asRuntimeException());
+      return;
+    }
+    eventLoop.execute(
+        () -> {
+          try {
+            var unused = call.apply(h).whenComplete((r, e) -> answer(observer, r, e));
+          } catch (RuntimeException e) {
+            answer(observer, null, e);
+          }
+        });
+  }
+
+  private static <R> void answer(StreamObserver<R> observer, R response, Throwable error) {
+    try {
+      if (error == null) {
+        observer.onNext(response);
+        observer.onCompleted();
+      } else {
+        LOG.log(Level.ERROR, "a call of a peer failed", error);
+        observer.onError(Status.INTERNAL.asRuntimeException());
+      }
+    } catch (RuntimeException e) {
+      LOG.log(Level.DEBUG, "the peer no longer waits for the answer", e);
+    }
+  }
+
+  private final class Service extends PeerGrpc.PeerImplBase {
+
+    @Override
+    public void probe(ProbeRequest r, StreamObserver<ProbeResponse> o) {
+      dispatch(o, h -> h.probe(r));
+    }
+
+    @Override
+    public void probeIndirect(ProbeIndirectRequest r, StreamObserver<ProbeIndirectResponse> o) {
+      dispatch(o, h -> h.probeIndirect(r));
+    }
+
+    @Override
+    public void reserve(ReserveRequest r, StreamObserver<ReserveResponse> o) {
+      dispatch(o, h -> h.reserve(r));
+    }
+
+    @Override
+    public void settle(SettleRequest r, StreamObserver<SettleResponse> o) {
+      dispatch(o, h -> h.settle(r));
+    }
+
+    @Override
+    public void release(ReleaseRequest r, StreamObserver<ReleaseResponse> o) {
+      dispatch(o, h -> h.release(r));
+    }
+
+    @Override
+    public void handOver(HandOverRequest r, StreamObserver<HandOverResponse> o) {
+      dispatch(o, h -> h.handOver(r));
+    }
+
+    @Override
+    public void fetchConfiguration(
+        FetchConfigurationRequest r, StreamObserver<FetchConfigurationResponse> o) {
+      dispatch(o, h -> h.fetchConfiguration(r));
+    }
+
+    @Override
+    public void reportCrashes(CrashReport r, StreamObserver<CrashReportResponse> o) {
+      dispatch(o, h -> h.reportCrashes(r));
+    }
+
+    @Override
+    public void lookUpRequest(LookUpRequestRequest r, StreamObserver<LookUpRequestResponse> o) {
+      dispatch(o, h -> h.lookUpRequest(r));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between daemons over gRPC. */
+package org.hibiscusreel.daemon.peer;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpTableService.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpTableService.java
@@ -68,17 +68,17 @@
     ObjectNode body = JsonBodies.MAPPER.createObjectNode();
     ArrayNode array = body.putArray("keys");
     keys.forEach(array::add);
-    return read("read", body);
+    return readRows("read", body);
   }
 
   @Override
   public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
     ObjectNode body = JsonBodies.MAPPER.createObjectNode();
     body.put("prefix", prefix).put("after", after).put("limit", limit);
-    return read("scan", body);
+    return readRows("scan", body);
   }
 
-  private CompletableFuture<ReadResult> read(String operation, ObjectNode body) {
+  private CompletableFuture<ReadResult> readRows(String operation, ObjectNode body) {
     return post(operation, body)
         .thenApply(
             r -> {
