--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/ProblemDocuments.java
@@ -0,0 +1,55 @@
+package org.hibiscusreel.daemon.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
+import org.hibiscusreel.core.request.Problem;
+import org.hibiscusreel.daemon.platform.JsonBodies;
+
+/** Writes problems as problem documents. */
+final class ProblemDocuments {
+
+  /** Names the request in each response. */
+  static final HttpHeader REQUEST_ID = HttpHeaders.register("X-Request-Id");
+
+  private static final String TYPE = "https://hibiscusreel.org/problems/";
+
+  private ProblemDocuments() {}
+
+  /** Returns the document of a problem; {@code requestId} is empty if the request has none. */
+  static ObjectNode toJson(Problem problem, String requestId) {
+    ObjectNode n =
+        JsonBodies.MAPPER
+            .createObjectNode()
+            .put("type", TYPE + problem.code().toField())
+            .put("title", problem.code().title())
+            .put("status", problem.code().status())
+            .put("detail", problem.detail())
+            .put("code", problem.code().toField())
+            .put("ran", problem.ran().toField())
+            .put("request_id", requestId);
+    problem.retryAfterMillis().ifPresent(ms -> n.put("retry_after_ms", ms));
+    return n;
+  }
+
+  /** Returns the response of a problem. */
+  static HttpResponse toResponse(Problem problem, String requestId) {
+    HttpResponse.Builder b =
+        HttpResponse.ofCode(problem.code().status())
+            .withHeader(HttpHeaders.CONTENT_TYPE, "application/problem+json")
+            .withBody(JsonBodies.write(toJson(problem, requestId)));
+    if (!requestId.isEmpty()) {
+      b.withHeader(REQUEST_ID, requestId);
+    }
+    problem
+        .retryAfterMillis()
+        .ifPresent(ms -> b.withHeader(HttpHeaders.RETRY_AFTER, Long.toString(toSeconds(ms))));
+    return b.build();
+  }
+
+  private static long toSeconds(long millis) {
+    return Math.max(1, TimeUnit.MILLISECONDS.toSeconds(millis + 999));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The caller API over HTTP. */
+package org.hibiscusreel.daemon.caller;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of the daemon. */
+package org.hibiscusreel.daemon.metrics;
