--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/admin/AdminServer.java
@@ -0,0 +1,141 @@
+package org.hibiscusreel.daemon.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.hibiscusreel.daemon.metrics.DaemonMetrics;
+import org.hibiscusreel.daemon.platform.JsonBodies;
+
+/** Administrative HTTP service. Used only on the thread of the event loop. */
+public final class AdminServer {
+
+  private static final int MAX_EVENTS = 1000;
+  private static final int MAX_CONNECTIONS = 100;
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final HttpServer server;
+  private final DaemonMetrics metrics;
+  private final EventLog events;
+  private final BooleanSupplier isReady;
+  private final Supplier<JsonNode> status;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param reactor the event loop
+   * @param address address to bind
+   * @param metrics metrics to show
+   * @param events time line to show
+   * @param isReady whether the load balancer may send requests
+   * @param status gives the state of the daemon
+   * @throws NullPointerException if an argument is null
+   */
+  public AdminServer(
+      NioReactor reactor,
+      InetSocketAddress address,
+      DaemonMetrics metrics,
+      EventLog events,
+      BooleanSupplier isReady,
+      Supplier<JsonNode> status) {
+    this.metrics = Objects.requireNonNull(metrics, "metrics");
+    this.events = Objects.requireNonNull(events, "events");
+    this.isReady = Objects.requireNonNull(isReady, "isReady");
+    this.status = Objects.requireNonNull(status, "status");
+    RoutingServlet servlet =
+        RoutingServlet.builder(reactor)
+            .with(HttpMethod.GET, "/livez", r -> text(200, "live"))
+            .with(HttpMethod.GET, "/readyz", r -> readiness())
+            .with(HttpMethod.GET, "/metrics", r -> json(this.metrics.toJson()))
+            .with(HttpMethod.GET, "/events", this::events)
+            .with(HttpMethod.GET, "/status", r -> json(this.status.get()))
+            .build();
+    HttpServer[] self = new HttpServer[1];
+    this.server =
+        HttpServer.builder(reactor, servlet)
+            .withListenAddress(address)
+            .withReadWriteTimeout(TIMEOUT)
+            .withKeepAliveTimeout(TIMEOUT)
+            .withAcceptFilter(
+                (c, local, remote, ssl) -> self[0].getConnectionsCount() >= MAX_CONNECTIONS)
+            .build();
+    self[0] = server;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public void start() throws IOException {
+    server.listen();
+  }
+
+  /**
+   * Stops listening.
+   *
+   * @return completes when all connections are closed
+   */
+  public Promise<?> stop() {
+    return server.close();
+  }
+
+  /**
+   * Returns the bound port.
+   *
+   * @return port number
+   */
+  public int port() {
+    return server.getBoundAddresses().get(0).getPort();
+  }
+
+  private Promise<HttpResponse> readiness() {
+    return isReady.getAsBoolean() ? text(200, "ready") : text(503, "not ready");
+  }
+
+  private Promise<HttpResponse> events(HttpRequest request) {
+    String text = request.getQueryParameter("after");
+    long after;
+    try {
+      after = text == null ? 0 : Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      return text(400, "after must be a whole number");
+    }
+    List<EventLog.Numbered> found = events.after(after, MAX_EVENTS);
+    ObjectNode n = JsonBodies.MAPPER.createObjectNode();
+    ArrayNode array = n.putArray("events");
+    for (EventLog.Numbered e : found) {
+      ObjectNode node = JsonBodies.MAPPER.valueToTree(e.event());
+      array.add(node.put("seq", e.seq()));
+    }
+    n.put("next", found.isEmpty() ? after : found.get(found.size() - 1).seq());
+    n.put("dropped", events.dropped());
+    return json(n);
+  }
+
+  private static Promise<HttpResponse> text(int status, String text) {
+    return HttpResponse.ofCode(status).withPlainText(text + "\n").build().toPromise();
+  }
+
+  private static Promise<HttpResponse> json(JsonNode node) {
+    return HttpResponse.ok200()
+        .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+        .withBody(JsonBodies.write(node))
+        .build()
+        .toPromise();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/admin/EventLog.java
@@ -0,0 +1,176 @@
+package org.hibiscusreel.daemon.admin;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.EventSink;
+import org.hibiscusreel.coordination.port.ObjectStore;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.timeline.TimelineEvent;
+
+/**
+ * Keeps the newest events of the time line and writes all of them to the object store in batches,
+ * as JSON lines. Used only on the event loop.
+ */
+public final class EventLog implements EventSink {
+
+  /** Number of events that are kept for readers. */
+  static final int RING_EVENTS = 10_000;
+
+  /** Number of events that wait for the object store; older ones are dropped. */
+  static final int MAX_WAITING = 20_000;
+
+  /** Largest number of events of one object. */
+  static final int BATCH_EVENTS = 2000;
+
+  /** The store takes several hundred writes a second from up to 410 daemons. */
+  static final long FLUSH_INTERVAL_MILLIS = 10_000;
+
+  /**
+   * An event with its number.
+   *
+   * @param seq number in this process, from 1
+   * @param event the event
+   */
+  public record Numbered(long seq, TimelineEvent event) {}
+
+  private record Batch(String key, byte[] body) {}
+
+  private final Scheduler scheduler;
+  private final ObjectStore store;
+  private final String incarnation;
+  private final Deque<Numbered> ring = new ArrayDeque<>();
+  private final Deque<TimelineEvent> waiting = new ArrayDeque<>();
+  private long seq;
+  private long dropped;
+  private long batches;
+  private Batch inFlight;
+  private CompletableFuture<Void> flushing;
+  private Cancellable timer;
+
+  /**
+   * Creates a log.
+   *
+   * @param scheduler time and delayed tasks
+   * @param store receives the batches
+   * @param incarnation incarnation of the process
+   * @throws NullPointerException if an argument is null
+   */
+  public EventLog(Scheduler scheduler, ObjectStore store, String incarnation) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.store = Objects.requireNonNull(store, "store");
+    this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+  }
+
+  /** Starts to write batches. */
+  public void start() {
+    timer = scheduler.schedule(FLUSH_INTERVAL_MILLIS, this::onTimer);
+  }
+
+  /**
+   * Writes what waits once more and stops.
+   *
+   * @return completes when the last write ended, whatever its outcome
+   */
+  public CompletableFuture<Void> stop() {
+    if (timer != null) {
+      timer.cancel();
+    }
+    return flush().thenCompose(v -> flush());
+  }
+
+  @Override
+  public void record(TimelineEvent event) {
+    seq++;
+    ring.addLast(new Numbered(seq, event));
+    if (ring.size() > RING_EVENTS) {
+      ring.removeFirst();
+    }
+    waiting.addLast(event);
+    if (waiting.size() > MAX_WAITING) {
+      waiting.removeFirst();
+      dropped++;
+    }
+  }
+
+  /**
+   * Returns kept events.
+   *
+   * @param after number of the last event seen, 0 for all
+   * @param limit largest number of events
+   * @return the oldest events after that one, in order
+   */
+  public List<Numbered> after(long after, int limit) {
+    return ring.stream().filter(n -> n.seq() > after).limit(limit).toList();
+  }
+
+  /**
+   * Returns the number of events that were dropped before they reached the object store.
+   *
+   * @return 0 or more
+   */
+  public long dropped() {
+    return dropped;
+  }
+
+  /**
+   * Writes the next batch, or the previous one again if its outcome is not certain.
+   *
+   * @return completes when the write ended, whatever its outcome
+   */
+  CompletableFuture<Void> flush() {
+    if (flushing != null) {
+      return flushing;
+    }
+    if (inFlight == null) {
+      inFlight = nextBatch();
+    }
+    if (inFlight == null) {
+      return CompletableFuture.completedFuture(null);
+    }
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    flushing = done;
+    var unused =
+        store
+            .put(inFlight.key(), inFlight.body())
+            .thenAccept(
+                written -> {
+                  flushing = null;
+                  if (written) {
+                    inFlight = null;
+                  }
+                  done.complete(null);
+                });
+    return done;
+  }
+
+  private Batch nextBatch() {
+    if (waiting.isEmpty()) {
+      return null;
+    }
+    StringBuilder b = new StringBuilder();
+    int n = 0;
+    while (n < BATCH_EVENTS && !waiting.isEmpty()) {
+      b.append(Json.write(waiting.removeFirst())).append('\n');
+      n++;
+    }
+    batches++;
+    LocalDate date =
+        LocalDate.ofInstant(Instant.ofEpochMilli(scheduler.wallMillis()), ZoneOffset.UTC);
+    String key = "events/" + date + "/" + incarnation + "/" + batches;
+    return new Batch(key, b.toString().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void onTimer() {
+    var unused = flush();
+    timer = scheduler.schedule(FLUSH_INTERVAL_MILLIS, this::onTimer);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Administrative HTTP service and the time line of the process. */
+package org.hibiscusreel.daemon.admin;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/NodeHandle.java
@@ -0,0 +1,82 @@
+package org.hibiscusreel.daemon.main;
+
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.config.ConfigurationView;
+import org.hibiscusreel.coordination.node.NodePorts;
+import org.hibiscusreel.coordination.node.NodeSettings;
+import org.hibiscusreel.coordination.port.PeerHandler;
+import org.hibiscusreel.coordination.request.RequestService;
+
+/** The coordination services of a daemon as the process sees them. */
+public interface NodeHandle {
+
+  /** Creates the services. */
+  @FunctionalInterface
+  interface Factory {
+
+    /**
+     * Creates services that are not started yet.
+     *
+     * @param settings settings of the daemon
+     * @param ports ports on the event loop
+     * @return the services
+     */
+    NodeHandle create(NodeSettings settings, NodePorts ports);
+  }
+
+  /**
+   * Starts the services.
+   *
+   * @return completes when they run
+   */
+  CompletableFuture<Void> start();
+
+  /**
+   * Stops the services gracefully.
+   *
+   * @return completes when the process can exit
+   */
+  CompletableFuture<Void> stop();
+
+  /**
+   * Returns the service for requests of callers.
+   *
+   * @return the service
+   */
+  RequestService requests();
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the view
+   */
+  ConfigurationView configuration();
+
+  /**
+   * Returns what answers the calls of other daemons.
+   *
+   * @return the handler
+   */
+  PeerHandler peerHandler();
+
+  /**
+   * Tells whether requests are accepted.
+   *
+   * @return true if the load balancer may send requests
+   */
+  boolean isReady();
+
+  /**
+   * Returns figures for people and metrics.
+   *
+   * @return a record that is shown as JSON
+   */
+  Object status();
+
+  /**
+   * Returns the number of bills that wait for the platform.
+   *
+   * @return 0 or more
+   */
+  int billsBuffered();
+}
