--- a/ctl/src/test/java/org/hibiscusreel/ctl/HibiscusreelCtlTest.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/HibiscusreelCtlTest.java
@@ -99,6 +99,8 @@
     assertThat(out).containsSubsequence("version 2 by ana", "version 1 by ana");
     assertThat(call("show", "--site", "north")).isZero();
     assertThat(out).contains("serving.worth = 3.0");
+    assertThat(call("show", "--source", "base", "--config-version", "1")).isZero();
+    assertThat(out).startsWith("# kept by edits");
     assertThat(call("diff", "--from", "2", "--to", "1")).isZero();
     assertThat(out).contains("~ serving.worth = 3.0 -> 2.0");
   }
