Count the outcomes of requests for the evening report

Change: OutcomeCounter feeds DayReporter, which starts and stops with the node; early refusals carry worth and worst case. Conclusion: the report gets served, late, refused, unknown and budget refusals; bills found to exist already are not counted yet.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -12,6 +12,7 @@
 import org.hibiscusreel.coordination.membership.MembershipService;
 import org.hibiscusreel.coordination.membership.PeerVersionListener;
 import org.hibiscusreel.coordination.recovery.RecoveryService;
+import org.hibiscusreel.coordination.report.DayReporter;
 import org.hibiscusreel.coordination.request.OutcomeListener;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.wire.FetchConfigurationRequest;
@@ -32,6 +33,8 @@
   private final BillingService billing;
   private final ClaimService claims;
   private final RecoveryService recovery;
+  private final DayReporter reporter;
+  private final OutcomeListener outcomes;
   private final BudgetReservations decoratedBudgets;
   private final Billing decoratedBilling;
   private final Claims decoratedClaims;
@@ -81,6 +84,14 @@
             ports.random(),
             settings.self().incarnation());
     decoratedClaims = decorators.claims().apply(claims);
+    reporter =
+        new DayReporter(
+            ports.scheduler(),
+            ports.table(),
+            settings.self().incarnation(),
+            settings.self().site(),
+            billing::pending);
+    outcomes = new OutcomeCounter(reporter::counters, ports.scheduler()::wallMillis);
     recovery =
         new RecoveryService(
             ports.scheduler(),
@@ -124,7 +135,7 @@
 
   @Override
   public OutcomeListener outcomes() {
-    return outcome -> {};
+    return outcomes;
   }
 
   @Override
@@ -148,11 +159,13 @@
     budgets.start();
     billing.start();
     recovery.start();
+    reporter.start();
   }
 
   @Override
   public CompletableFuture<Void> flush() {
-    return CompletableFuture.allOf(billing.stop(), claims.stop());
+    return CompletableFuture.allOf(billing.stop(), claims.stop())
+        .thenCompose(done -> reporter.stop());
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/DefaultRequestService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/DefaultRequestService.java
@@ -69,7 +69,9 @@
     Ticket.Terms terms = terms(configuration, request);
     Optional<Problem> refusal = begin(configuration, terms);
     if (refusal.isPresent()) {
-      return refuse(request, listener, refusal.get());
+      refused(terms, refusal.get());
+      listener.onProblem(refusal.get());
+      return new RefusedCall();
     }
     ModelCallTask task = new ModelCallTask(context, request, new Ticket(context, terms), listener);
     task.start();
@@ -92,9 +94,11 @@
           Ticket ticket = new Ticket(context, terms);
           return new ServiceCallTask(context, request, method.get(), ticket).start();
         }
+        refused(terms, refusal.get());
+        return CompletableFuture.completedFuture(new ServiceOutcome.Failed(refusal.get()));
       }
     }
-    refused(request.key(), request.budget(), target, refusal.get());
+    refused(unvalued(request.key(), request.budget(), target), refusal.get());
     return CompletableFuture.completedFuture(new ServiceOutcome.Failed(refusal.get()));
   }
 
@@ -153,25 +157,39 @@
   }
 
   private ModelCall refuse(ModelRequest request, AnswerListener listener, Problem problem) {
-    refused(request.key(), request.budget(), request.model(), problem);
+    refused(unvalued(request.key(), request.budget(), request.model()), problem);
     listener.onProblem(problem);
     return new RefusedCall();
   }
 
-  private void refused(RequestKey key, String budget, String target, Problem problem) {
+  /** Returns the terms of a request that is refused before its worth is known. */
+  private static Ticket.Terms unvalued(RequestKey key, String budget, String target) {
+    return new Ticket.Terms(key, budget, target, "", "", 0, 0, 0, 0);
+  }
+
+  private void refused(Ticket.Terms terms, Problem problem) {
     context
         .recorder()
         .record(
             "refused",
-            key.account(),
-            key.requestId(),
-            budget,
+            terms.key().account(),
+            terms.key().requestId(),
+            terms.budget(),
             "",
             problem.code().toField() + " ran=" + problem.ran().toField());
     context
         .outcomes()
         .onOutcome(
-            new RequestOutcome(key, budget, target, 0, 0, 0, 0, false, Optional.of(problem)));
+            new RequestOutcome(
+                terms.key(),
+                terms.budget(),
+                terms.target(),
+                terms.worth(),
+                terms.worstCase(),
+                0,
+                0,
+                false,
+                Optional.of(problem)));
   }
 
   private static Optional<ServiceMethod> method(
--- a/coordination/src/test/java/org/hibiscusreel/coordination/request/ModelCallTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/request/ModelCallTest.java
@@ -194,6 +194,7 @@
     Answer fourth = new Answer(false);
     harness.submit("s", fourth);
     assertRefused(fourth, ProblemCode.SHUTTING_DOWN, Ran.NO);
+    assertThat(harness.outcomes).extracting(RequestOutcome::worth).containsExactly(1.0, 1.0, 0.0);
     harness.engines.last().end(0);
     assertThat(answer.end).isNotNull();
   }
