--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -14,6 +14,7 @@
 import org.hibiscusreel.coordination.membership.MembershipService;
 import org.hibiscusreel.coordination.membership.PeerVersionListener;
 import org.hibiscusreel.coordination.recovery.RecoveryService;
+import org.hibiscusreel.coordination.report.DayReporter;
 import org.hibiscusreel.coordination.request.OutcomeListener;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.wire.FetchConfigurationRequest;
@@ -37,6 +38,8 @@
   private final ClaimService claims;
   private final RecoveryService recovery;
   private final KeptBills keptBills;
+  private final DayReporter reporter;
+  private final OutcomeListener outcomes;
   private final BudgetReservations decoratedBudgets;
   private final Billing decoratedBilling;
   private final Claims decoratedClaims;
@@ -95,6 +98,14 @@
             decoratedBilling,
             recorder,
             settings.self().incarnation());
+    reporter =
+        new DayReporter(
+            ports.scheduler(),
+            ports.table(),
+            settings.self().incarnation(),
+            settings.self().site(),
+            billing::pending);
+    outcomes = new OutcomeCounter(reporter::counters, ports.scheduler()::wallMillis);
     recovery =
         new RecoveryService(
             ports.scheduler(),
@@ -138,7 +149,7 @@
 
   @Override
   public OutcomeListener outcomes() {
-    return outcome -> {};
+    return outcomes;
   }
 
   @Override
@@ -163,12 +174,14 @@
     billing.start();
     recovery.start();
     keptBills.start();
+    reporter.start();
   }
 
   @Override
   public CompletableFuture<Void> flush() {
     keptBills.stop();
-    return CompletableFuture.allOf(billing.stop(), claims.stop());
+    return CompletableFuture.allOf(billing.stop(), claims.stop())
+        .thenCompose(done -> reporter.stop());
   }
 
   @Override
