Let a restarted daemon bind its peer port at once

Cause: without SO_REUSEADDR, connections in TIME_WAIT keep the port for a minute after a restart. Change: SO_REUSEADDR is set; on Linux it admits no second listener, which a test checks. Conclusion: the port is exclusive between living processes and free after the exit.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
@@ -69,14 +69,15 @@
   public GrpcPeerServer(
       InetSocketAddress address, PeerCredentials credentials, Executor eventLoop) {
     this.eventLoop = Objects.requireNonNull(eventLoop, "eventLoop");
-    // The plain NIO transport has no SO_REUSEPORT. SO_REUSEADDR is set off as well; a bound
-    // listener then excludes every other one on the same address.
+    // The plain NIO transport sets no SO_REUSEPORT. On Linux, SO_REUSEADDR admits no second
+    // listener either; without it, connections in TIME_WAIT would keep a restarted daemon from
+    // binding for a minute.
     this.server =
         NettyServerBuilder.forAddress(address, credentials.server())
             .channelType(NioServerSocketChannel.class)
             .bossEventLoopGroup(boss)
             .workerEventLoopGroup(workers)
-            .withOption(ChannelOption.SO_REUSEADDR, false)
+            .withOption(ChannelOption.SO_REUSEADDR, true)
             .directExecutor()
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
             .maxConcurrentCallsPerConnection(MAX_CALLS_PER_CONNECTION)
--- a/daemon/src/test/java/org/hibiscusreel/daemon/peer/GrpcPeerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/peer/GrpcPeerTest.java
@@ -123,6 +123,21 @@
     assertThat(probe(client, port)).isPresent();
   }
 
+  /** Guards against a restart that has to wait for connections in TIME_WAIT. */
+  @Test
+  void portIsFreeAfterStopWithOpenConnections() throws Exception {
+    PeerCredentials plain = PeerCredentials.of(Optional.empty());
+    GrpcPeerServer server = serve(0, plain);
+    final int port = server.port();
+    GrpcPeerTransport client = connect(plain);
+    assertThat(probe(client, port)).isPresent();
+
+    server.stop();
+    serve(port, plain);
+
+    assertThat(probe(client, port)).isPresent();
+  }
+
   /** Guards the lock of the host: a second process must not get the port of a living one. */
   @Test
   void boundPortIsExclusive() throws Exception {
