--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -41,6 +41,7 @@
   private final BudgetReservations reservations;
   private final EventRecorder events;
   private final int maxBufferedBills;
+  private final BillBackup backup;
   private final BillWriter writer;
   private final Backoff backoff;
 
@@ -53,6 +54,7 @@
   private Cancellable timer = () -> {};
   private int acquired;
   private int failures;
+  private int flushing;
   private boolean isRunning;
   private boolean isFlushing;
   private boolean isRetrying;
@@ -65,6 +67,7 @@
    * @param reservations closes the reservations of bills
    * @param events records the time line
    * @param random source of random bits
+   * @param backup keeps copies of bills that must not be lost while the platform takes none
    * @param maxBufferedBills largest number of bills that wait for the platform, positive
    */
   public BillingService(
@@ -73,6 +76,7 @@
       BudgetReservations reservations,
       EventRecorder events,
       LongSupplier random,
+      BillBackup backup,
       int maxBufferedBills) {
     if (maxBufferedBills <= 0) {
       throw new IllegalArgumentException(
@@ -81,6 +85,7 @@
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.reservations = Objects.requireNonNull(reservations, "reservations");
     this.events = Objects.requireNonNull(events, "events");
+    this.backup = Objects.requireNonNull(backup, "backup");
     this.maxBufferedBills = maxBufferedBills;
     this.writer = new BillWriter(table);
     this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
@@ -165,14 +170,30 @@
     durable.put(bill.reservationId(), written);
     record(bill, reservation);
     if (failures > 0) {
-      completeDurable(bill.reservationId());
+      copyDurable(bill.reservationId());
     } else {
       scheduler.schedule(DURABLE_FLUSH_MILLIS, this::flush);
-      scheduler.schedule(DURABLE_TIMEOUT_MILLIS, () -> completeDurable(bill.reservationId()));
+      scheduler.schedule(DURABLE_TIMEOUT_MILLIS, () -> copyDurable(bill.reservationId()));
     }
     return written;
   }
 
+  /** Leaves a copy with a peer instead of waiting longer for the platform. */
+  private void copyDurable(String reservationId) {
+    PendingBill waiting = pending.get(reservationId);
+    if (waiting == null || !durable.containsKey(reservationId)) {
+      return;
+    }
+    FutureCallbacks.onValue(
+        backup.copy(waiting.bill()),
+        isKept -> {
+          Bill b = waiting.bill();
+          String kind = isKept ? "bill_copied" : "bill_not_copied";
+          events.record(kind, b.account(), b.requestId(), b.budget(), "", "");
+          completeDurable(reservationId);
+        });
+  }
+
   private void completeDurable(String reservationId) {
     CompletableFuture<Void> written = durable.remove(reservationId);
     if (written != null) {
@@ -185,6 +206,7 @@
       return;
     }
     isFlushing = true;
+    flushing = pending.size();
     BillBatch batch = BillBatch.select(pending.values(), FLUSH_ROWS);
     FutureCallbacks.onValue(writer.write(batch), attempt -> complete(batch, attempt));
   }
@@ -204,10 +226,10 @@
     if (pending.isEmpty()) {
       completeStops();
     } else if (!isProgress) {
-      List.copyOf(durable.keySet()).forEach(this::completeDurable);
+      List.copyOf(durable.keySet()).forEach(this::copyDurable);
       isRetrying = true;
       scheduler.schedule(backoff.delayMillis(failures), this::retry);
-    } else if (!isRunning || isPartial(batch, attempt) || isFlushDue()) {
+    } else if (!isRunning || isIncomplete(attempt) || isFlushDue()) {
       flush();
     }
   }
@@ -216,8 +238,13 @@
     return pending.size() >= FLUSH_ROWS || !durable.isEmpty();
   }
 
-  private static boolean isPartial(BillBatch batch, BillWriter.Attempt attempt) {
-    return attempt.outcomes().size() < batch.bills().size();
+  /** Returns true if bills that waited when the flush began are still not resolved. */
+  private boolean isIncomplete(BillWriter.Attempt attempt) {
+    return attempt.outcomes().stream().filter(BillingService::isResolved).count() < flushing;
+  }
+
+  private static boolean isResolved(BillWriter.Outcome outcome) {
+    return outcome.verdict() != PendingBill.Verdict.OTHER_REQUEST;
   }
 
   private void retry() {
@@ -228,7 +255,7 @@
   private void settle(BillWriter.Outcome outcome) {
     Bill bill = outcome.pending().bill();
     String id = bill.reservationId();
-    if (outcome.verdict() == PendingBill.Verdict.OTHER_REQUEST) {
+    if (!isResolved(outcome)) {
       pending.put(id, outcome.pending().withFingerprintKey());
       return;
     }
