--- a/daemon/src/test/java/org/hibiscusreel/daemon/loop/TestLoop.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/loop/TestLoop.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.daemon.loop;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -15,6 +16,8 @@
 
   /** Starts the loop. */
   public TestLoop() {
+    // The table of header names takes about a second to build, longer than timeouts of tests.
+    HttpHeaders.of("Accept");
     eventloop.keepAlive(true);
     thread.setDaemon(true);
     thread.start();
