--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentHolder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentHolder.java
@@ -254,10 +254,19 @@
         .allMatch(a -> a.isClosed && !a.isBusy);
   }
 
-  /** Ends all work for good and returns the ledgers that are not closed. */
-  Map<String, List<HandOverEntry>> freeze() {
+  /** Ends all work for good. */
+  void freeze() {
     isGranting = false;
     platform.freeze();
+  }
+
+  /** Returns true while the outcome of a write is open. */
+  boolean isWriting() {
+    return all().stream().flatMap(h -> h.allotments.values().stream()).anyMatch(a -> a.isWriting);
+  }
+
+  /** Returns the entries of all ledgers that are not closed. */
+  Map<String, List<HandOverEntry>> toHandOver() {
     Map<String, List<HandOverEntry>> ledgers = new LinkedHashMap<>();
     for (Held held : all()) {
       List<HandOverEntry> entries =
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentPlatform.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentPlatform.java
@@ -40,6 +40,11 @@
   private static final long FIRST_RETRY_MILLIS = 20;
   private static final long MAX_RETRY_MILLIS = 10_000;
 
+  /** A conflict means that another holder made progress, so the retry is soon. */
+  private static final long FIRST_CONFLICT_RETRY_MILLIS = 10;
+
+  private static final long MAX_CONFLICT_RETRY_MILLIS = 200;
+
   /** Bounds the requests to other domains while a budget is used up. */
   private static final long RELEASE_INTERVAL_MILLIS = 250;
 
@@ -56,6 +61,7 @@
   private final ReleaseRequests releases;
   private final IntSupplier failureDomains;
   private final Backoff backoff;
+  private final Backoff conflictBackoff;
   private boolean isFrozen;
   private int failures;
   private long failedAtMillis;
@@ -73,6 +79,8 @@
     this.events = Objects.requireNonNull(events, "events");
     this.releases = Objects.requireNonNull(releases, "releases");
     this.failureDomains = Objects.requireNonNull(failureDomains, "failureDomains");
+    this.conflictBackoff =
+        new Backoff(FIRST_CONFLICT_RETRY_MILLIS, MAX_CONFLICT_RETRY_MILLIS, random);
     this.backoff = new Backoff(FIRST_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
   }
 
@@ -123,6 +131,8 @@
 
   private void end(HeldAllotment a) {
     a.isBusy = false;
+    a.failures = 0;
+    a.conflicts = 0;
     a.completeReleases(0);
     if (isFrozen || a.isClosed) {
       complete(
@@ -280,8 +290,10 @@
 
   private void giveBack(HeldAllotment a) {
     boolean closes = a.wantsClose && a.ledger.open().isEmpty();
-    if (a.ledger.withheld() == 0) {
-      a.ledger.withhold(a.wantsClose ? Long.MAX_VALUE : a.wantsReturn);
+    if (a.wantsClose) {
+      a.ledger.withhold(Long.MAX_VALUE);
+    } else if (a.ledger.withheld() == 0) {
+      a.ledger.withhold(a.wantsReturn);
     }
     a.wantsReturn = 0;
     long tokens = a.ledger.withheld();
@@ -293,12 +305,27 @@
       proceed(a);
       return;
     }
+    if (a.budgetRow.drawn() < tokens) {
+      readAgain(a);
+      return;
+    }
     long returned = a.ledger.returned() + tokens;
     write(a, -tokens, new AllotmentRow(a.ledger.drawn(), returned, closes), "allotment_returned");
   }
 
+  /** Replaces an outdated budget row; one that was just read is retried later. */
+  private void readAgain(HeldAllotment a) {
+    if (a.readAtMillis == scheduler.nowMillis()) {
+      a.mustRead = true;
+      retryLater(a);
+    } else {
+      read(a);
+    }
+  }
+
   private void write(HeldAllotment a, long tokens, AllotmentRow next, String event) {
     BudgetRow budget = a.budgetRow.withDrawn(tokens);
+    a.isWriting = true;
     List<Mutation> mutations =
         List.of(
             Mutation.replace(a.budgetKey(), a.budgetVersion, Json.write(budget)),
@@ -306,6 +333,7 @@
     FutureCallbacks.onValue(
         writes.submit(mutations),
         result -> {
+          a.isWriting = false;
           if (result instanceof WriteResult.Committed committed) {
             failures = 0;
             a.failures = 0;
@@ -322,10 +350,10 @@
 
   private void handleFailure(HeldAllotment a, WriteResult result) {
     if (result instanceof WriteResult.Conflict conflict) {
-      a.failures++;
+      a.conflicts++;
       a.mustRead = conflict.rows().isEmpty();
       conflict.rows().forEach(row -> observe(a, row));
-      schedule(a);
+      scheduler.schedule(conflictBackoff.delayMillis(a.conflicts), () -> proceed(a));
       return;
     }
     if (result instanceof WriteResult.Unknown) {
@@ -342,10 +370,6 @@
     failures++;
     failedAtMillis = scheduler.nowMillis();
     a.failures++;
-    schedule(a);
-  }
-
-  private void schedule(HeldAllotment a) {
     scheduler.schedule(backoff.delayMillis(a.failures), () -> proceed(a));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
@@ -60,6 +60,8 @@
   /** Time to return tokens at a stop before the ledger is handed over. */
   private static final long RETURN_TIMEOUT_MILLIS = 5_000;
 
+  private static final long WRITE_TIMEOUT_MILLIS = 1_000;
+
   private final Scheduler scheduler;
   private final TableService table;
   private final PeerTransport peers;
@@ -112,7 +114,15 @@
             scheduler, table, events, releases, () -> releases.failureDomains().size(), random);
     this.holder = new AllotmentHolder(scheduler, events, platform, self());
     this.handOvers = new HandOverSender(peers, membership, events);
-    this.outbox = new SettlementOutbox(scheduler, peers, membership, events, random);
+    this.outbox =
+        new SettlementOutbox(
+            scheduler,
+            peers,
+            membership,
+            events,
+            random,
+            id -> !isHandedOver && holder.canSettle(id),
+            holder::settle);
   }
 
   /** Starts the periodic return of surplus. */
@@ -128,15 +138,23 @@
   }
 
   /**
-   * Allows to use allotments of other holders. Before, reservations are taken only from this
-   * daemon's own allotments: the allotment of a dead holder is reclaimed when all registered
-   * incarnations of the domain have acknowledged the death, so one that is not registered yet must
-   * not use it.
+   * Allows to reserve, to grant and to take over ledgers. An incarnation that is not registered
+   * must do none of these: its bills could not be recovered after a crash, and the allotment of a
+   * dead holder would be reclaimed without its acknowledgement.
    */
   public void markRegistered() {
     isRegistered = true;
   }
 
+  /**
+   * Tells whether this incarnation is registered in the platform.
+   *
+   * @return true if it may reserve
+   */
+  public boolean isRegistered() {
+    return isRegistered;
+  }
+
   @Override
   public CompletableFuture<ReservationResult> reserve(
       RequestKey key, String budget, long tokens, long waitMillis) {
@@ -144,10 +162,14 @@
     if (tokens <= 0) {
       throw new IllegalArgumentException("tokens must be positive, but is " + tokens);
     }
+    if (!isRegistered) {
+      return CompletableFuture.completedFuture(
+          new ReservationResult.Unavailable("the daemon is not registered yet"));
+    }
     List<MemberInfo> ranked = membership.rank(membership.self().failureDomain(), budget);
     List<MemberInfo> targets = new ArrayList<>(ranked.subList(0, Math.min(RANKS, ranked.size())));
-    if (targets.isEmpty() || !isRegistered) {
-      targets = List.of(membership.self());
+    if (targets.isEmpty()) {
+      targets.add(membership.self());
     }
     long deadline = scheduler.nowMillis() + waitMillis;
     ReserveCall call = new ReserveCall(budget, key.account(), key.requestId(), "", tokens, self());
@@ -274,8 +296,8 @@
    */
   public CompletableFuture<ReserveResponse> handleReserve(ReserveRequest request) {
     events.observe(request.getStamp());
-    if (request.getTokens() <= 0) {
-      ReservationResult refused = new ReservationResult.Unavailable("no tokens were asked for");
+    if (request.getTokens() <= 0 || !isRegistered) {
+      ReservationResult refused = new ReservationResult.Unavailable("nothing can be granted");
       return CompletableFuture.completedFuture(PeerMessages.toResponse(refused, events.stamp()));
     }
     return holder
@@ -336,13 +358,14 @@
   }
 
   /**
-   * Notes that the platform lists a holder as closed or dead. Settlements for it are given up once
-   * all daemons of the domain, one of which may have taken over its ledger, have received them.
+   * Notes which incarnations the platform lists as live. Only registered ones grant, so all others
+   * have ended or never granted. Settlements for them are given up once all daemons of the domain,
+   * one of which may have taken over the ledger, have received them.
    *
-   * @param ended incarnation that has ended
+   * @param live live incarnations of all failure domains
    */
-  public void noteEnded(String ended) {
-    outbox.noteEnded(ended);
+  public void noteLive(Set<String> live) {
+    outbox.noteLive(live);
   }
 
   /**
@@ -452,7 +475,17 @@
       return;
     }
     isHandedOver = true;
-    FutureCallbacks.onValue(handOvers.offerAll(holder.freeze()), stopped::complete);
+    holder.freeze();
+    handOver(scheduler.nowMillis() + WRITE_TIMEOUT_MILLIS, stopped);
+  }
+
+  /** Waits for writes in progress first; a return with an open outcome would count as returned. */
+  private void handOver(long deadline, CompletableFuture<Void> stopped) {
+    if (holder.isWriting() && scheduler.nowMillis() < deadline) {
+      scheduler.schedule(STOP_POLL_MILLIS, () -> handOver(deadline, stopped));
+    } else {
+      FutureCallbacks.onValue(handOvers.offerAll(holder.toHandOver()), stopped::complete);
+    }
   }
 
   private String self() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/HeldAllotment.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/HeldAllotment.java
@@ -32,6 +32,7 @@
   long nextReleaseAtMillis;
   long nextRefillAtMillis;
   boolean isBusy;
+  boolean isWriting;
   boolean mustRead = true;
   boolean wantsRefill;
   boolean wantsClose;
@@ -42,6 +43,7 @@
   boolean isInDoubt;
 
   int failures;
+  int conflicts;
 
   HeldAllotment(HolderLedger holderLedger, BudgetLedger ledger, boolean isAdopted) {
     this.holderLedger = holderLedger;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/SettlementOutbox.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/SettlementOutbox.java
@@ -10,7 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.hibiscusreel.coordination.membership.MemberInfo;
 import org.hibiscusreel.coordination.membership.MembershipView;
 import org.hibiscusreel.coordination.platform.Backoff;
@@ -46,6 +48,11 @@
   private final MembershipView membership;
   private final EventRecorder events;
   private final Backoff backoff;
+
+  /** A ledger may have been handed over to this daemon while settlements for it were waiting. */
+  private final Predicate<String> isHeldHere;
+
+  private final Consumer<SettleEntry> settleHere;
   private final Map<String, Mailbox> mailboxes = new HashMap<>();
   private final Map<String, String> addresses = new HashMap<>();
   private final Set<String> ended = new HashSet<>();
@@ -55,11 +62,15 @@
       PeerTransport peers,
       MembershipView membership,
       EventRecorder events,
-      LongSupplier random) {
+      LongSupplier random,
+      Predicate<String> isHeldHere,
+      Consumer<SettleEntry> settleHere) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.peers = Objects.requireNonNull(peers, "peers");
     this.membership = Objects.requireNonNull(membership, "membership");
     this.events = Objects.requireNonNull(events, "events");
+    this.isHeldHere = Objects.requireNonNull(isHeldHere, "isHeldHere");
+    this.settleHere = Objects.requireNonNull(settleHere, "settleHere");
     this.backoff = new Backoff(2 * TICK_MILLIS, MAX_RETRY_MILLIS, random);
   }
 
@@ -68,11 +79,10 @@
     addresses.put(holder, address);
   }
 
-  /** Notes that the platform lists a holder as dead or closed. */
-  void noteEnded(String holder) {
-    if (mailboxes.containsKey(holder)) {
-      ended.add(holder);
-    }
+  /** Notes which incarnations the platform lists as live; holders not among them have ended. */
+  void noteLive(Set<String> live) {
+    ended.clear();
+    mailboxes.keySet().stream().filter(h -> !live.contains(h)).forEach(ended::add);
   }
 
   void add(SettleEntry entry) {
@@ -97,6 +107,11 @@
 
   private void send(String holder, Mailbox box) {
     List<SettleEntry> batch = box.entries.values().stream().limit(MAX_ENTRIES).toList();
+    if (isHeldHere.test(holder)) {
+      batch.forEach(settleHere);
+      complete(holder, box, batch, true);
+      return;
+    }
     Optional<String> address = addressOf(holder);
     CompletableFuture<Boolean> sent =
         address.isPresent() ? sendTo(address.get(), batch) : sendToDomain(holder, batch);
@@ -147,7 +162,6 @@
     }
     if (box.entries.isEmpty()) {
       mailboxes.remove(holder, box);
-      ended.remove(holder);
     } else {
       scheduleSend(holder, box, ok ? TICK_MILLIS : backoff.delayMillis(box.failures));
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -187,7 +187,7 @@
 
   private CompletableFuture<Void> runRound(List<Row> rows) {
     Registry registry = Registry.of(rows);
-    noteEnded(registry);
+    allotments.noteLive(Set.copyOf(registry.in(IncarnationState.LIVE)));
     return proveByHost(registry)
         .thenCompose(done -> proveByPlatform(registry))
         .thenCompose(done -> recoverDead(registry))
@@ -197,17 +197,6 @@
         .thenCompose(done -> deleteOld(registry));
   }
 
-  private void noteEnded(Registry registry) {
-    registry
-        .rows()
-        .forEach(
-            (id, row) -> {
-              if (row.state() != IncarnationState.LIVE) {
-                allotments.noteEnded(id);
-              }
-            });
-  }
-
   private CompletableFuture<Void> proveByHost(Registry registry) {
     Predicate<String> isReplaced =
         id ->
--- a/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
@@ -17,8 +17,10 @@
 import org.hibiscusreel.coordination.ledger.BillingService;
 import org.hibiscusreel.coordination.membership.MemberInfo;
 import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.port.HostList;
 import org.hibiscusreel.coordination.port.PeerTransport;
 import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.recovery.RecoveryService;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.core.config.Configuration;
 import org.hibiscusreel.core.config.ServingDefaults;
@@ -47,6 +49,7 @@
     public final TableService ownTable;
     public final AllotmentService allotments;
     public final BillingService billing;
+    public final RecoveryService recovery;
 
     private Daemon(MemberInfo info) {
       this.info = info;
@@ -61,11 +64,33 @@
               clock, ownTable, peers, view, configuration, recorder, random::nextLong, 500);
       this.billing =
           new BillingService(clock, ownTable, allotments, recorder, random::nextLong, 1_000);
+      this.recovery =
+          new RecoveryService(
+              clock,
+              ownTable,
+              () -> CompletableFuture.completedFuture(Optional.of(listing())),
+              engine.client(),
+              view,
+              configuration,
+              allotments,
+              billing,
+              recorder,
+              random::nextLong,
+              "boot of " + info.host(),
+              true);
       allotments.start();
-      allotments.markRegistered();
       billing.start();
     }
 
+    /** Stops the services in the order of a planned stop, then ends the process. */
+    public CompletableFuture<Void> stop() {
+      return billing
+          .stop()
+          .thenCompose(done -> allotments.stop())
+          .thenCompose(done -> recovery.stop())
+          .thenAccept(done -> crash());
+    }
+
     /** Stops the process without any clean-up. */
     public void crash() {
       clock.kill();
@@ -121,6 +146,11 @@
   /** Names of daemons whose incoming calls are lost. */
   public final Set<String> unreachable = new HashSet<>();
 
+  /** Hosts that the platform lists as terminated. */
+  public final Set<String> terminated = new HashSet<>();
+
+  public final FakeEngine engine = new FakeEngine();
+
   /** Tells for each message whether it is lost. */
   public BooleanSupplier isLost = () -> false;
 
@@ -131,13 +161,36 @@
     this.random = new Random(seed);
   }
 
-  /** Adds a daemon; its name is its incarnation, host and address. */
+  /** Adds a daemon without recovery; its name is its incarnation, host and address. */
   public Daemon add(String name, String failureDomain) {
-    Daemon d = new Daemon(new MemberInfo(name, name, failureDomain, "site", name, name));
-    daemons.put(name, d);
+    Daemon d = create(name, name, failureDomain);
+    d.allotments.markRegistered();
+    return d;
+  }
+
+  /** Adds a daemon that registers itself and takes part in recovery. */
+  public Daemon start(String incarnation, String host, String failureDomain) {
+    Daemon d = create(incarnation, host, failureDomain);
+    d.recovery.start();
+    return d;
+  }
+
+  private Daemon create(String incarnation, String host, String failureDomain) {
+    MemberInfo info =
+        new MemberInfo(incarnation, host, failureDomain, "site", incarnation, incarnation);
+    Daemon d = new Daemon(info);
+    daemons.put(incarnation, d);
     return d;
   }
 
+  private HostList.Listing listing() {
+    List<HostList.Host> hosts =
+        terminated.stream()
+            .map(h -> new HostList.Host(h, "", "", HostList.State.TERMINATED))
+            .toList();
+    return new HostList.Listing(hosts, List.of());
+  }
+
   /** Runs until a future is done, at most a minute of virtual time. */
   public <T> T await(CompletableFuture<T> future) {
     for (int i = 0; i < 6_000 && !future.isDone(); i++) {
