--- /dev/null
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AllotmentSizingTest.java
@@ -0,0 +1,46 @@
+package org.hibiscusreel.core.budget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class AllotmentSizingTest {
+
+  /** Guards against allotments that do not last for the outage that the budget tolerates. */
+  @Test
+  void targetCoversTheOutageAndTwoWorstCases() {
+    assertThat(AllotmentSizing.target(0.5, Lean.STRICT, 10)).isEqualTo(150_000);
+    assertThat(AllotmentSizing.target(0.5, Lean.OPEN, 10)).isEqualTo(1_800_000);
+    assertThat(AllotmentSizing.target(0, Lean.OPEN, 10)).isEqualTo(20);
+  }
+
+  /** Guards against one failure domain that takes what the others need. */
+  @Test
+  void drawsOnePartOfTheUndrawnAmountBeyondTheNeed() {
+    assertThat(AllotmentSizing.draw(1_000, 0, 10, 400, 3)).isEqualTo(100);
+    assertThat(AllotmentSizing.draw(1_000, 0, 300, 400, 3)).isEqualTo(300);
+    assertThat(AllotmentSizing.draw(1_000, 0, 500, 400, 3)).isEqualTo(400);
+    assertThat(AllotmentSizing.draw(50, 20, 0, 400, 3)).isEqualTo(30);
+    assertThat(AllotmentSizing.draw(50, 60, 0, 400, 3)).isZero();
+  }
+
+  /** Guards against returning and drawing the same tokens in turn. */
+  @Test
+  void keepsTheTargetAndReturnsOnlyAboveTwiceOfIt() {
+    assertThat(AllotmentSizing.surplus(100, 200)).isZero();
+    assertThat(AllotmentSizing.surplus(100, 201)).isEqualTo(101);
+    assertThat(AllotmentSizing.isLow(100, 50)).isFalse();
+    assertThat(AllotmentSizing.isLow(100, 49)).isTrue();
+  }
+
+  /** Guards against a forecast that is far off a steady demand or remembers it for long. */
+  @Test
+  void forecastFollowsTheDemand() {
+    DemandForecast forecast = new DemandForecast(0);
+    for (long now = 0; now <= 60_000; now += 100) {
+      forecast.add(200, now);
+    }
+    assertThat(forecast.tokensPerMilli(60_000)).isBetween(1.8, 2.2);
+    assertThat(forecast.tokensPerMilli(3_600_000)).isLessThan(0.001);
+  }
+}
