Carry copies of bills between daemons

Cause: the port PeerTransport gained keepBills. Change: GrpcPeerTransport and GrpcPeerServer carry the call. Before: daemon did not compile against main; after: 91 tests, 0 failures. Conclusion: the daemon module builds on the present contracts.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
@@ -24,6 +24,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.PeerGrpc;
@@ -214,6 +216,11 @@
       dispatch(o, h -> h.reportCrashes(r));
     }
 
+    @Override
+    public void keepBills(KeepBillsRequest r, StreamObserver<KeepBillsResponse> o) {
+      dispatch(o, h -> h.keepBills(r));
+    }
+
     @Override
     public void lookUpRequest(LookUpRequestRequest r, StreamObserver<LookUpRequestResponse> o) {
       dispatch(o, h -> h.lookUpRequest(r));
--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
@@ -25,6 +25,8 @@
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.hibiscusreel.wire.HandOverRequest;
 import org.hibiscusreel.wire.HandOverResponse;
+import org.hibiscusreel.wire.KeepBillsRequest;
+import org.hibiscusreel.wire.KeepBillsResponse;
 import org.hibiscusreel.wire.LookUpRequestRequest;
 import org.hibiscusreel.wire.LookUpRequestResponse;
 import org.hibiscusreel.wire.PeerGrpc;
@@ -143,6 +145,12 @@
     return call(address, timeoutMillis, s -> s.lookUpRequest(request));
   }
 
+  @Override
+  public CompletableFuture<Optional<KeepBillsResponse>> keepBills(
+      String address, KeepBillsRequest request, long timeoutMillis) {
+    return call(address, timeoutMillis, s -> s.keepBills(request));
+  }
+
   private <R> CompletableFuture<Optional<R>> call(
       String address,
       long timeoutMillis,
