--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
@@ -151,6 +151,12 @@
     return call(address, timeoutMillis, s -> s.lookUpRequest(request));
   }
 
+  @Override
+  public CompletableFuture<Optional<KeepBillsResponse>> keepBills(
+      String address, KeepBillsRequest request, long timeoutMillis) {
+    return call(address, timeoutMillis, s -> s.keepBills(request));
+  }
+
   private <R> CompletableFuture<Optional<R>> call(
       String address,
       long timeoutMillis,
