Bound the memory of bodies and close callers that do not finish them

Cause: some hundred callers that send large bodies slowly could fill the 256 MB heap, and a connection whose body timed out stayed open for 30 s more. Change: at most 64 MiB of bodies are read at once; a connection whose body did not arrive is closed 1 s after the refusal. Conclusion: misbehaving callers cost bounded memory and time.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
@@ -21,7 +21,21 @@
    */
   private static final int DISCARD_FACTOR = 8;
 
+  private static final long RETRY_MILLIS = 1000;
+
+  /** Bytes that all bodies being read may take. */
+  static final class Memory {
+
+    private final long limit;
+    private long used;
+
+    Memory(long limit) {
+      this.limit = limit;
+    }
+  }
+
   private final ChannelSupplier<ByteBuf> source;
+  private final Memory memory;
   private final int limit;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final SettablePromise<byte[]> result = new SettablePromise<>();
@@ -29,9 +43,11 @@
   private boolean isKept = true;
   private long received;
 
-  private BodyReader(ChannelSupplier<ByteBuf> source, int limit, Scheduler scheduler) {
+  private BodyReader(
+      ChannelSupplier<ByteBuf> source, int limit, Memory memory, Scheduler scheduler) {
     this.source = source;
     this.limit = limit;
+    this.memory = memory;
     this.timer =
         scheduler.schedule(
             BODY_TIMEOUT_MILLIS,
@@ -41,17 +57,21 @@
                         ProblemCode.MALFORMED_REQUEST, "the body did not arrive in time")));
   }
 
-  /** Reads a body of a caller without a valid key and throws it away; never fails. */
-  static Promise<Void> discard(ChannelSupplier<ByteBuf> source, int limit, Scheduler scheduler) {
-    BodyReader r = new BodyReader(source, limit, scheduler);
+  /**
+   * Reads a body of a caller without a valid key and throws it away; tells whether it was whole.
+   */
+  static Promise<Boolean> discard(
+      ChannelSupplier<ByteBuf> source, int limit, Memory memory, Scheduler scheduler) {
+    BodyReader r = new BodyReader(source, limit, memory, scheduler);
     r.isKept = false;
     r.next();
-    return r.result.map(b -> null, e -> null);
+    return r.result.map(b -> true, e -> false);
   }
 
   /** Reads a body; fails with {@link ProblemException} for one that is too large or too slow. */
-  static Promise<byte[]> read(ChannelSupplier<ByteBuf> source, int limit, Scheduler scheduler) {
-    BodyReader r = new BodyReader(source, limit, scheduler);
+  static Promise<byte[]> read(
+      ChannelSupplier<ByteBuf> source, int limit, Memory memory, Scheduler scheduler) {
+    BodyReader r = new BodyReader(source, limit, memory, scheduler);
     r.next();
     return r.result;
   }
@@ -79,10 +99,10 @@
     } else {
       received += buf.readRemaining();
       if (received <= limit && isKept) {
-        body.writeBytes(buf.asArray());
+        keep(buf.asArray());
       } else {
         buf.recycle();
-        body.reset();
+        release();
         if (received > (long) limit * DISCARD_FACTOR) {
           fail(tooLarge());
         }
@@ -90,17 +110,36 @@
     }
   }
 
+  private void keep(byte[] bytes) {
+    if (memory.used + bytes.length > memory.limit) {
+      fail(
+          new ProblemException(
+              ProblemCode.OVERLOADED, "too many bodies are being read", RETRY_MILLIS));
+      return;
+    }
+    memory.used += bytes.length;
+    body.writeBytes(bytes);
+  }
+
+  private void release() {
+    memory.used -= body.size();
+    body.reset();
+  }
+
   private void end() {
     timer.cancel();
     if (received > limit) {
       fail(tooLarge());
     } else {
-      result.trySet(body.toByteArray());
+      byte[] whole = body.toByteArray();
+      release();
+      result.trySet(whole);
     }
   }
 
   private void fail(ProblemException e) {
     timer.cancel();
+    release();
     result.trySetException(e);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerConnections.java
@@ -32,6 +32,7 @@
   /** Longest time that a caller may read nothing while an answer waits for it. */
   static final long WRITE_TIMEOUT_MILLIS = 30_000;
 
+  private static final long CLOSE_DELAY_MILLIS = 1000;
   private static final long CHECK_INTERVAL_MILLIS = 1000;
 
   private final Scheduler scheduler;
@@ -67,6 +68,11 @@
       socket.close();
     }
 
+    /** Closes the connection when the answer had time to leave, although the body did not come. */
+    void closeSoon() {
+      scheduler.schedule(CLOSE_DELAY_MILLIS, this::close);
+    }
+
     /**
      * Calls a task once if the caller goes away before its answer is sent. Must be called after the
      * body of the request was read.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
@@ -42,6 +42,13 @@
   private static final HttpHeader BUDGET = HttpHeaders.register("X-Budget");
   private static final HttpHeader REQUEST_CLASS = HttpHeaders.register("X-Class");
   private static final HttpHeader DEADLINE = HttpHeaders.register("X-Deadline-Ms");
+
+  /**
+   * Bytes of bodies that are being read at once. Without a bound, some hundred callers that send
+   * large bodies slowly would fill the heap.
+   */
+  private static final long MAX_BODY_MEMORY_BYTES = 64L * 1024 * 1024;
+
   private static final String BEARER = "Bearer ";
 
   /**
@@ -59,6 +66,7 @@
   private final Scheduler scheduler;
   private final CallerConnections connections;
   private final int maxBodyBytes;
+  private final BodyReader.Memory bodyMemory = new BodyReader.Memory(MAX_BODY_MEMORY_BYTES);
 
   CallerServlet(
       RequestService requests,
@@ -122,11 +130,18 @@
       context = readContext(request, requestId);
     } catch (ProblemException e) {
       HttpResponse refusal = refuse(e.problem(), requestId);
-      return BodyReader.discard(request.takeBodyStream(), maxBodyBytes, scheduler)
-          .map(v -> refusal);
+      return BodyReader.discard(request.takeBodyStream(), maxBodyBytes, bodyMemory, scheduler)
+          .map(
+              isWhole -> {
+                if (!isWhole) {
+                  closeSoon(request);
+                }
+                return refusal;
+              });
     }
     String id = requestId;
-    return BodyReader.read(request.takeBodyStream(), maxBodyBytes, scheduler)
+    return BodyReader.read(request.takeBodyStream(), maxBodyBytes, bodyMemory, scheduler)
+        .whenException(e -> closeSoon(request))
         .then(body -> handler.handle(request, context, body))
         .then(
             (response, e) ->
@@ -135,6 +150,13 @@
                     : Promise.of(response, e));
   }
 
+  private void closeSoon(HttpRequest request) {
+    CallerConnections.Entry e = connections.entry(request);
+    if (e != null) {
+      e.closeSoon();
+    }
+  }
+
   private HttpResponse refuse(Problem problem, String requestId) {
     metrics.countRequest(problem.code().toField());
     return ProblemDocuments.toResponse(problem, requestId);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/ProblemException.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/ProblemException.java
@@ -15,6 +15,11 @@
     this.problem = Problem.notRun(code, detail);
   }
 
+  ProblemException(ProblemCode code, String detail, long retryAfterMillis) {
+    super(detail, null, false, false);
+    this.problem = Problem.notRun(code, detail, retryAfterMillis);
+  }
+
   Problem problem() {
     return problem;
   }
