Command engines into their declared state with fencing numbers

Cause: nothing sent declared-state commands, and a silent engine counted as a crash of its requests. Change: OrderService reads states back and resends with a fencing number; silence of 20 s moves a request without blaming it. Conclusion: the declared state is what an upstream serves, until the configuration declares adapters and roles.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -4,6 +4,7 @@
 import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.membership.MembershipService;
 import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.order.OrderService;
 import org.hibiscusreel.coordination.port.PeerHandler;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.request.DefaultRequestService;
@@ -24,6 +25,7 @@
   private final MembershipService membership;
   private final NodeServices services;
   private final DefaultRequestService requests;
+  private final OrderService orders;
   private final PeerHandler peerHandler;
   private CompletableFuture<Void> stopping;
   private boolean started;
@@ -70,6 +72,7 @@
                 new LocalityPolicy(),
                 membership::onLoadReport,
                 services.outcomes()));
+    this.orders = new OrderService(ports, membership, services.configuration(), recorder);
     this.peerHandler = new NodePeerHandler(membership, services, requests);
   }
 
@@ -89,6 +92,7 @@
       membership.start();
       services.start();
       requests.start();
+      orders.start();
     }
     return CompletableFuture.completedFuture(null);
   }
@@ -104,6 +108,7 @@
     if (stopping == null) {
       recorder.record("node_stopping", requests.inProgress() + " requests in progress");
       requests.stopAccepting();
+      orders.stop();
       membership.leave();
       stopping =
           drained()
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/order/OrderService.java
@@ -0,0 +1,189 @@
+package org.hibiscusreel.coordination.order;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hibiscusreel.coordination.config.ConfigurationView;
+import org.hibiscusreel.coordination.membership.MemberInfo;
+import org.hibiscusreel.coordination.membership.MembershipView;
+import org.hibiscusreel.coordination.node.NodePorts;
+import org.hibiscusreel.coordination.platform.FutureCallbacks;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.platform.TableKeys;
+import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.EngineOrder;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.Row;
+import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.coordination.timeline.EventRecorder;
+import org.hibiscusreel.core.config.Upstream;
+import org.hibiscusreel.core.config.UpstreamKind;
+import org.hibiscusreel.core.order.OrderRow;
+
+/**
+ * Keeps engines in their declared state. One daemon of the failure domain reads the state of each
+ * engine back and, if it differs, takes a fencing number and sends the command. An engine that
+ * ignores fencing numbers may execute the late command of a paused daemon; the next read-back
+ * corrects it.
+ */
+public final class OrderService {
+  /** Interval at which the state of an engine is read back, in milliseconds. */
+  public static final long READ_BACK_MILLIS = 5_000;
+
+  private static final String ROLE = "generate";
+
+  private final NodePorts ports;
+  private final MembershipView membership;
+  private final ConfigurationView configuration;
+  private final EventRecorder recorder;
+  private final Set<String> busy = new HashSet<>();
+  private final Set<String> refused = new HashSet<>();
+  private Cancellable timer = () -> {};
+  private boolean running;
+
+  /**
+   * Creates the service.
+   *
+   * @param ports time, table and engines
+   * @param membership decides which daemon commands an engine
+   * @param configuration declares the state of the engines
+   * @param recorder receives events
+   */
+  public OrderService(
+      NodePorts ports,
+      MembershipView membership,
+      ConfigurationView configuration,
+      EventRecorder recorder) {
+    this.ports = ports;
+    this.membership = membership;
+    this.configuration = configuration;
+    this.recorder = recorder;
+  }
+
+  /** Starts to read states back. */
+  public void start() {
+    running = true;
+    long phase = Math.floorMod(ports.random().getAsLong(), READ_BACK_MILLIS);
+    timer = ports.scheduler().schedule(phase, this::tick);
+  }
+
+  /** Stops to send commands. */
+  public void stop() {
+    running = false;
+    timer.cancel();
+  }
+
+  private void tick() {
+    timer = ports.scheduler().schedule(READ_BACK_MILLIS, this::tick);
+    configuration
+        .current()
+        .ifPresent(
+            c ->
+                c.upstreams().values().stream()
+                    .filter(this::isCommandedHere)
+                    .forEach(this::readBack));
+  }
+
+  private boolean isCommandedHere(Upstream u) {
+    MemberInfo self = membership.self();
+    if (u.kind() != UpstreamKind.ENGINE || !u.failureDomain().equals(self.failureDomain())) {
+      return false;
+    }
+    List<MemberInfo> ranked = membership.rank(u.failureDomain(), TableKeys.order(u.name()));
+    return !ranked.isEmpty() && ranked.get(0).incarnation().equals(self.incarnation());
+  }
+
+  private void readBack(Upstream u) {
+    if (!busy.add(u.name())) {
+      return;
+    }
+    FutureCallbacks.onValue(
+        ports.engines().state(u),
+        state -> {
+          if (state.isPresent() && running && !isDeclared(u, state.get())) {
+            acquire(u);
+          } else {
+            busy.remove(u.name());
+          }
+        });
+  }
+
+  private static boolean isDeclared(Upstream u, EngineOrder state) {
+    EngineOrder declared = declared(u, state.fencing());
+    return Set.copyOf(state.models()).equals(Set.copyOf(declared.models()))
+        && Set.copyOf(state.adapters()).equals(Set.copyOf(declared.adapters()))
+        && state.role().equals(declared.role());
+  }
+
+  private static EngineOrder declared(Upstream u, long fencing) {
+    return new EngineOrder(fencing, u.serves(), List.of(), ROLE);
+  }
+
+  /** Reads the row before each command, so that a daemon that was paused sees a newer holder. */
+  private void acquire(Upstream u) {
+    String key = TableKeys.order(u.name());
+    FutureCallbacks.onValue(
+        ports.table().read(List.of(key)),
+        result -> {
+          if (result instanceof ReadResult.Rows rows) {
+            Optional<Row> row = rows.rows().stream().filter(r -> r.version() > 0).findFirst();
+            write(u, key, row);
+          } else {
+            busy.remove(u.name());
+          }
+        });
+  }
+
+  private void write(Upstream u, String key, Optional<Row> row) {
+    Optional<OrderRow> present = row.map(r -> Json.read(r.value(), OrderRow.class));
+    boolean isRefused = refused.remove(u.name());
+    Optional<OrderRow> next =
+        OrderRow.next(
+            present, membership.self().incarnation(), digest(declared(u, 0)), isRefused);
+    if (next.isEmpty()) {
+      send(u, present.orElseThrow().fencing());
+      return;
+    }
+    long version = row.map(Row::version).orElse(0L);
+    Mutation m = Mutation.replace(key, version, Json.write(next.get()));
+    FutureCallbacks.onValue(
+        ports.table().transact(List.of(m)),
+        result -> {
+          if (result instanceof WriteResult.Committed) {
+            send(u, next.get().fencing());
+          } else {
+            // The next read-back sees whether the write took effect.
+            busy.remove(u.name());
+          }
+        });
+  }
+
+  private void send(Upstream u, long fencing) {
+    recorder.record("order_sent", "", "", "", u.name(), "fencing=" + fencing);
+    FutureCallbacks.onValue(
+        ports.engines().order(u, declared(u, fencing)),
+        accepted -> {
+          busy.remove(u.name());
+          if (accepted.isPresent() && !accepted.get()) {
+            refused.add(u.name());
+          }
+          String outcome = accepted.map(a -> a ? "accepted" : "stale").orElse("unknown");
+          recorder.record("order_answered", "", "", "", u.name(), outcome);
+        });
+  }
+
+  private static String digest(EngineOrder declared) {
+    try {
+      byte[] bytes = Json.write(declared).getBytes(StandardCharsets.UTF_8);
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("SHA-256 is not available", e);
+    }
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/EngineAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/EngineAttempt.java
@@ -215,6 +215,11 @@
   private void notResumable(String reason, boolean restarted) {
     noteBreak();
     context.crashes().onNotResumable(engine, restarted);
+    lost(reason);
+  }
+
+  /** Ends the attempt. Silence alone is no sign of a crash, since a link can drop packets. */
+  private void lost(String reason) {
     engine.onRefusal(context.scheduler().nowMillis());
     finish();
     listener.onLost(reason);
@@ -232,7 +237,7 @@
       if (call != null) {
         call.cancel();
       }
-      notResumable("no chunk came for " + STALL_MILLIS + " ms", false);
+      lost("no chunk came for " + STALL_MILLIS + " ms");
     }
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/request/ModelCallTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/request/ModelCallTest.java
@@ -306,6 +306,35 @@
     assertThat(harness.countEvents("upstream_crashed")).isZero();
   }
 
+  /** Guards against waiting for ever for a silent engine, and blaming the request for it. */
+  @Test
+  void startsAnewElsewhereAfterSilence() {
+    harness.service.submit(withDeadline(60_000), answer);
+    ScriptedEngines.Connection silent = harness.engines.last();
+    harness.scheduler.run(21_000);
+    assertThat(silent.cancelled).isTrue();
+    assertThat(harness.engines.connections).hasSize(2);
+    harness.engines.last().pieces("a");
+    harness.engines.last().end(1);
+    assertThat(answer.pieces).containsExactly("a");
+    assertThat(harness.countEvents("upstream_crashed")).isZero();
+  }
+
+  private static ModelRequest withDeadline(long millis) {
+    ModelRequest r = RequestHarness.model("q", RequestHarness.FINGERPRINT);
+    return new ModelRequest(
+        r.key(),
+        r.model(),
+        r.budget(),
+        r.requestClass(),
+        r.body(),
+        r.promptBytes(),
+        r.maxTokens(),
+        r.prefixHashes(),
+        r.fingerprint(),
+        millis);
+  }
+
   /** Guards against retries that multiply the load when engines fail. */
   @Test
   void limitsRetriesToTheBudget() {
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/order/package-info.java
@@ -0,0 +1,2 @@
+/** Fencing of commands to engines. */
+package org.hibiscusreel.core.order;
