--- a/bench-tools/src/main/java/org/hibiscusreel/bench/standin/ServiceRole.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/ServiceRole.java
@@ -7,7 +7,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
-import io.activej.promise.SettablePromise;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -56,24 +56,15 @@
     if (!faults.crashMarker.isEmpty()
         && new String(body, StandardCharsets.UTF_8).contains(faults.crashMarker)) {
       gate.crash();
-      return new SettablePromise<>();
+      return Promise.ofException(new IOException("crashed"));
     }
     HttpResponse receipt =
-        Http.json(200, Map.of("receipt", receipt(key, method), "method", method, "run", count));
+        Http.json(
+            200,
+            Map.of("receipt", Generation.receipt(key, method), "method", method, "run", count));
     return Promises.delay(runMillis, receipt);
   }
 
-  /**
-   * Returns the receipt of a call, the same for each run.
-   *
-   * @param key idempotency key
-   * @param method method
-   * @return hexadecimal text
-   */
-  static String receipt(String key, String method) {
-    return Generation.sha256(key + "\n" + method);
-  }
-
   @Override
   public Object observed() {
     return Map.of("runs", runs, "run_counts", counts);
