Space the rounds of recovery and delete old rows by their end

Cause: rounds every 15 s on average would take several hundred reads a second at 410 daemons, and a row was deleted by the age of its start, so the row of a daemon that stopped after a week vanished while holders still needed it. Conclusion: the estimated reads of the rounds are 80 a second for the whole fleet; this was calculated, not measured.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -42,8 +42,11 @@
  */
 public final class RecoveryService {
 
-  /** Longest time between rounds; the jitter keeps daemons from reading the rows together. */
-  private static final long ROUND_INTERVAL_MILLIS = 20_000;
+  /**
+   * Longest time between rounds; the jitter keeps daemons from reading the rows together. With 410
+   * daemons and about 500 rows, rounds of 30 s on average take about 80 reads a second.
+   */
+  private static final long ROUND_INTERVAL_MILLIS = 40_000;
 
   private static final long FIRST_RETRY_MILLIS = 100;
   private static final long MAX_RETRY_MILLIS = 10_000;
@@ -57,8 +60,11 @@
   /** Bounds the incarnations recovered or reclaimed in one round. */
   private static final int MAX_JOBS_PER_ROUND = 5;
 
-  /** Rows of ended incarnations are deleted after a week, which bounds the reads of a round. */
-  private static final long KEEP_ROWS_MILLIS = 7 * 24 * 3_600_000L;
+  /**
+   * Rows of ended incarnations are deleted a day after they were first seen, which bounds the reads
+   * of a round. Until then holders find out from them that a server has ended.
+   */
+  private static final long KEEP_ROWS_MILLIS = 24 * 3_600_000L;
 
   private static final String HOST_PROOF = "replaced on the same host and boot";
   private static final String PLATFORM_PROOF = "host terminated by the platform";
@@ -78,6 +84,7 @@
   private final EndedServerCloser closer;
   private final Registration registration;
   private final Map<String, Long> deadSinceMillis = new HashMap<>();
+  private final Map<String, Long> endedSinceMillis = new HashMap<>();
   private final Set<String> acknowledged = new HashSet<>();
   private final Set<String> reclaimed = new HashSet<>();
   private Cancellable timer = () -> {};
@@ -367,13 +374,16 @@
   }
 
   private CompletableFuture<Void> deleteOld(Registry registry) {
-    long limit = scheduler.wallMillis() - KEEP_ROWS_MILLIS;
-    List<String> old = new ArrayList<>(registry.in(IncarnationState.CLOSED));
-    old.addAll(reclaimed);
+    Set<String> ended = new HashSet<>(registry.in(IncarnationState.CLOSED));
+    ended.addAll(reclaimed);
+    ended.retainAll(registry.rows().keySet());
+    long now = scheduler.nowMillis();
+    endedSinceMillis.keySet().retainAll(ended);
+    ended.forEach(id -> endedSinceMillis.putIfAbsent(id, now));
     List<String> due =
-        old.stream()
-            .filter(id -> registry.rows().containsKey(id) && isResponsible(registry, id))
-            .filter(id -> registry.rows().get(id).startedAtMillis() < limit)
+        ended.stream()
+            .filter(id -> isResponsible(registry, id))
+            .filter(id -> now - endedSinceMillis.get(id) >= KEEP_ROWS_MILLIS)
             .limit(MAX_JOBS_PER_ROUND)
             .toList();
     return FutureCallbacks.inOrder(due, id -> delete(registry, id));
