--- a/coordination/src/main/java/org/hibiscusreel/coordination/order/OrderService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/order/OrderService.java
@@ -144,8 +144,7 @@
     Optional<OrderRow> present = row.map(r -> Json.read(r.value(), OrderRow.class));
     boolean isRefused = refused.remove(u.name());
     Optional<OrderRow> next =
-        OrderRow.next(
-            present, membership.self().incarnation(), digest(declared(u, 0)), isRefused);
+        OrderRow.next(present, membership.self().incarnation(), digest(declared(u, 0)), isRefused);
     if (next.isEmpty()) {
       send(u, present.orElseThrow().fencing());
       return;
