--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/BillingService.java
@@ -42,6 +42,7 @@
   private final EventRecorder events;
   private final int maxBufferedBills;
   private final BillBackup backup;
+  private final Runnable onDuplicate;
   private final BillWriter writer;
   private final Backoff backoff;
 
@@ -68,6 +69,7 @@
    * @param events records the time line
    * @param random source of random bits
    * @param backup keeps copies of bills that must not be lost while the platform takes none
+   * @param onDuplicate called for each complete answer whose request was billed before
    * @param maxBufferedBills largest number of bills that wait for the platform, positive
    */
   public BillingService(
@@ -77,6 +79,7 @@
       EventRecorder events,
       LongSupplier random,
       BillBackup backup,
+      Runnable onDuplicate,
       int maxBufferedBills) {
     if (maxBufferedBills <= 0) {
       throw new IllegalArgumentException(
@@ -85,6 +88,7 @@
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.reservations = Objects.requireNonNull(reservations, "reservations");
     this.events = Objects.requireNonNull(events, "events");
+    this.onDuplicate = Objects.requireNonNull(onDuplicate, "onDuplicate");
     this.backup = Objects.requireNonNull(backup, "backup");
     this.maxBufferedBills = maxBufferedBills;
     this.writer = new BillWriter(table);
@@ -263,6 +267,9 @@
     boolean isWritten = outcome.verdict() == PendingBill.Verdict.WRITTEN;
     reservations.close(covers.remove(id), isWritten ? bill.tokens() : 0);
     completeDurable(id);
+    if (!isWritten) {
+      onDuplicate.run();
+    }
     String kind = isWritten ? "bill_written" : "bill_duplicate";
     String detail = "tokens=" + bill.tokens() + " key=" + outcome.pending().billedId();
     events.record(kind, bill.account(), bill.requestId(), bill.budget(), "", detail);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -80,6 +80,7 @@
             recorder,
             ports.random(),
             new PeerBillBackup(ports.peers(), membership, recorder),
+            this::countDuplicate,
             settings.maxBufferedBills());
     decoratedBilling = decorators.billing().apply(billing);
     claims =
@@ -122,6 +123,10 @@
             !settings.bootId().isEmpty());
   }
 
+  private void countDuplicate() {
+    reporter.counters().alreadyBilled();
+  }
+
   @Override
   public BudgetReservations budgets() {
     return decoratedBudgets;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/ledger/BillingServiceTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/ledger/BillingServiceTest.java
@@ -29,6 +29,7 @@
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final FakeTable table = new FakeTable(scheduler);
   private final Map<String, Long> closed = new TreeMap<>();
+  private int duplicates;
   private final List<Bill> copied = new ArrayList<>();
   private final BillBackup copies =
       b -> {
@@ -41,7 +42,14 @@
     EventRecorder recorder =
         new EventRecorder(new HybridClock(scheduler::wallMillis), server, e -> {});
     return new BillingService(
-        scheduler, table, new Closings(), recorder, new Random(5)::nextLong, copies, 150);
+        scheduler,
+        table,
+        new Closings(),
+        recorder,
+        new Random(5)::nextLong,
+        copies,
+        () -> duplicates++,
+        150);
   }
 
   /** Records which reservations were closed, and fails if one is closed twice. */
@@ -151,6 +159,7 @@
     record(bill("q", "r3", PRINT));
     scheduler.run(6_000);
     assertThat(closed).isEqualTo(Map.of("r1", 10L, "r2", 0L, "r3", 0L));
+    assertThat(duplicates).isEqualTo(2);
     assertThat(spent()).isEqualTo(10);
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeCluster.java
@@ -70,6 +70,7 @@
               recorder,
               random::nextLong,
               b -> CompletableFuture.completedFuture(false),
+              () -> {},
               1_000);
       this.recovery =
           new RecoveryService(
