Test the limit of connections and drop a call that a merge doubled

Change: one keepBills is removed; a test opens one connection above the limit. Conclusion: a connection above the limit is closed at once.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerTransport.java
@@ -139,12 +139,6 @@
     return call(address, timeoutMillis, s -> s.reportCrashes(request));
   }
 
-  @Override
-  public CompletableFuture<Optional<KeepBillsResponse>> keepBills(
-      String address, KeepBillsRequest request, long timeoutMillis) {
-    return call(address, timeoutMillis, s -> s.keepBills(request));
-  }
-
   @Override
   public CompletableFuture<Optional<LookUpRequestResponse>> lookUpRequest(
       String address, LookUpRequestRequest request, long timeoutMillis) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerServerTest.java
@@ -318,4 +318,21 @@
       s.close();
     }
   }
+
+  /** Guards against connections without bound, which would exhaust the descriptors of the host. */
+  @Test
+  void refusesConnectionsAboveTheLimit() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+      sockets.add(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+    try (Socket extra = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      extra.setSoTimeout(5000);
+
+      assertThat(extra.getInputStream().read()).isNegative();
+    }
+    for (Socket s : sockets) {
+      s.close();
+    }
+  }
 }
