--- a/daemon/src/test/java/org/hibiscusreel/daemon/main/DaemonTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/main/DaemonTest.java
@@ -18,10 +18,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.port.PeerHandler;
 import org.hibiscusreel.coordination.request.AnswerListener;
-import org.hibiscusreel.coordination.request.RequestService;
 import org.hibiscusreel.daemon.caller.FakeRequests;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
@@ -48,51 +46,23 @@
     loop.close();
   }
 
-  private final class FakeNode implements NodeHandle {
-
-    @Override
-    public CompletableFuture<Void> start() {
-      return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-      return nodeStopped;
-    }
-
-    @Override
-    public RequestService requests() {
-      return requests;
-    }
-
-    @Override
-    public ConfigurationView configuration() {
-      return requests;
-    }
-
-    @Override
-    public PeerHandler peerHandler() {
-      return (PeerHandler)
-          Proxy.newProxyInstance(
-              PeerHandler.class.getClassLoader(),
-              new Class<?>[] {PeerHandler.class},
-              (proxy, method, arguments) -> new CompletableFuture<>());
-    }
-
-    @Override
-    public boolean isReady() {
-      return true;
-    }
-
-    @Override
-    public Object status() {
-      return Map.of("fake", true);
-    }
+  private Object answer(String method) {
+    return switch (method) {
+      case "start" -> CompletableFuture.completedFuture(null);
+      case "stop" -> nodeStopped;
+      case "requests", "configuration" -> requests;
+      case "peerHandler" -> fake(PeerHandler.class);
+      case "isReady" -> true;
+      case "status" -> Map.of("fake", true);
+      case "billsBuffered" -> 3;
+      default -> throw new UnsupportedOperationException(method);
+    };
+  }
 
-    @Override
-    public int billsBuffered() {
-      return 3;
-    }
+  private <T> T fake(Class<T> type) {
+    return type.cast(
+        Proxy.newProxyInstance(
+            type.getClassLoader(), new Class<?>[] {type}, (p, m, a) -> answer(m.getName())));
   }
 
   private static DaemonSettings settings(int peerPort) {
@@ -117,7 +87,10 @@
               try {
                 started.complete(
                     Daemon.start(
-                        settings(peerPort), "h-1", (s, p) -> new FakeNode(), loop.eventloop()));
+                        settings(peerPort),
+                        "h-1",
+                        (s, p) -> fake(NodeHandle.class),
+                        loop.eventloop()));
               } catch (Exception e) {
                 started.completeExceptionally(e);
               }
