--- a/coordination/src/main/java/org/hibiscusreel/coordination/order/OrderService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/order/OrderService.java
@@ -142,10 +142,9 @@
 
   private void write(Upstream u, String key, Optional<Row> row) {
     Optional<OrderRow> present = row.map(r -> Json.read(r.value(), OrderRow.class));
-    boolean isRefused = refused.remove(u.name());
+    boolean isRefused = refused.contains(u.name());
     Optional<OrderRow> next =
-        OrderRow.next(
-            present, membership.self().incarnation(), digest(declared(u, 0)), isRefused);
+        OrderRow.next(present, membership.self().incarnation(), digest(declared(u, 0)), isRefused);
     if (next.isEmpty()) {
       send(u, present.orElseThrow().fencing());
       return;
@@ -156,6 +155,7 @@
         ports.table().transact(List.of(m)),
         result -> {
           if (result instanceof WriteResult.Committed) {
+            refused.remove(u.name());
             send(u, next.get().fencing());
           } else {
             // The next read-back sees whether the write took effect.
