Hold whole answers back in the daemon

Cause: a caller that takes the answer as a whole could not be moved to another engine after the first chunk, since the daemon did not declare it. Change: WholeAnswer says wantsWholeAnswer.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/WholeAnswer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/WholeAnswer.java
@@ -16,6 +16,11 @@
     super(documents, metrics, scheduler);
   }
 
+  @Override
+  public boolean wantsWholeAnswer() {
+    return true;
+  }
+
   @Override
   void deliver(String piece) {
     text.append(piece);
