Treat 503 of a plain service as its answer

Cause: a service may answer 503 after it ran the call; taking it for not sent would make a refusal untrue (invariants I4 and I5). Change: only 429 counts as not sent. Conclusion: not sent is said only where the status proves it.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
@@ -14,6 +14,7 @@
 
 /** Plain services over HTTP. */
 public final class HttpPlainServiceClient implements PlainServiceClient {
+  private static final int TOO_MANY_REQUESTS = 429;
 
   private static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.register("Idempotency-Key");
 
@@ -48,10 +49,10 @@
       return new Result.NotSent(n.reason());
     }
     if (result instanceof HttpResult.Responded r) {
-      return switch (r.status()) {
-        case 429, 503 -> new Result.NotSent("the service refused with status " + r.status());
-        default -> new Result.Responded(r.status(), r.contentType(), r.body());
-      };
+      // Only 429 says that the call was not run; a service may answer 503 after it ran the call.
+      return r.status() == TOO_MANY_REQUESTS
+          ? new Result.NotSent("the service refused with status " + r.status())
+          : new Result.Responded(r.status(), r.contentType(), r.body());
     }
     return new Result.Unknown(((HttpResult.Lost) result).reason());
   }
--- /dev/null
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClientTest.java
@@ -0,0 +1,53 @@
+package org.hibiscusreel.daemon.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.hibiscusreel.coordination.port.PlainServiceClient.Call;
+import org.hibiscusreel.core.config.Upstream;
+import org.hibiscusreel.core.config.UpstreamKind;
+import org.hibiscusreel.daemon.http.HttpCalls;
+import org.hibiscusreel.daemon.loop.RawServer;
+import org.hibiscusreel.daemon.loop.TestLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HttpPlainServiceClientTest {
+
+  private final TestLoop loop = new TestLoop();
+
+  @AfterEach
+  void stop() {
+    loop.close();
+  }
+
+  /** Guards against a call that ran but is reported as not sent, which would be untrue. */
+  @ParameterizedTest
+  @CsvSource({
+    "200 OK, Responded",
+    "500 Internal Server Error, Responded",
+    "503 Service Unavailable, Responded",
+    "429 Too Many Requests, NotSent",
+  })
+  void mapsTheStatus(String status, String outcome) throws Exception {
+    try (RawServer s = new RawServer(RawServer.respond(status, "{}"))) {
+      Upstream u =
+          new Upstream(
+              "svc",
+              UpstreamKind.SERVICE,
+              s.address(),
+              "a",
+              "site",
+              List.of("records"),
+              1,
+              false,
+              false);
+      HttpPlainServiceClient client =
+          loop.get(() -> new HttpPlainServiceClient(new HttpCalls(loop.eventloop(), false)));
+      Call call = new Call("sign", "key", "application/json", new byte[0], 1_000);
+      assertThat(loop.await(() -> client.call(u, call)).getClass().getSimpleName())
+          .isEqualTo(outcome);
+    }
+  }
+}
