Recognise a crashing request that moves between engines, copy bills to every failure domain

Ruled out: the shared random source and the stall timer; the cohorts of the two breaks share the request. Change: breaks with a request in common are no link failure; copies of bills go to one peer in each failure domain.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/ledger/PeerBillBackup.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/ledger/PeerBillBackup.java
@@ -1,10 +1,10 @@
 package org.hibiscusreel.coordination.ledger;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.hibiscusreel.coordination.membership.MemberInfo;
 import org.hibiscusreel.coordination.membership.MembershipView;
 import org.hibiscusreel.coordination.platform.FutureCallbacks;
@@ -16,12 +16,11 @@
 import org.hibiscusreel.wire.KeptBill;
 
 /**
- * Sends copies of bills to up to three peers, at least one of them in another failure domain if
- * there is one, so that the loss of a whole failure domain does not lose the bill.
+ * Sends copies of bills to one peer of the own failure domain and one of each other failure domain
+ * that is reachable, so that the loss of several failure domains does not lose the bill.
  */
 public final class PeerBillBackup implements BillBackup {
 
-  private static final int OWN_DOMAIN_COPIES = 2;
   private static final long TIMEOUT_MILLIS = 500;
 
   private final PeerTransport peers;
@@ -71,19 +70,16 @@
   }
 
   private List<MemberInfo> targets(Bill bill) {
-    String own = membership.self().failureDomain();
-    List<MemberInfo> targets = new ArrayList<>();
-    membership.rank(own, bill.reservationId()).stream()
-        .filter(m -> !m.incarnation().equals(membership.self().incarnation()))
-        .limit(OWN_DOMAIN_COPIES)
-        .forEach(targets::add);
-    membership.alive().stream()
-        .map(MemberInfo::failureDomain)
-        .filter(d -> !d.equals(own))
-        .sorted()
-        .findFirst()
-        .ifPresent(d -> targets.add(membership.rank(d, bill.reservationId()).get(0)));
-    return targets;
+    String self = membership.self().incarnation();
+    Stream<String> failureDomains =
+        membership.alive().stream().map(MemberInfo::failureDomain).distinct().sorted();
+    return failureDomains
+        .flatMap(
+            d ->
+                membership.rank(d, bill.reservationId()).stream()
+                    .filter(m -> !m.incarnation().equals(self))
+                    .limit(1))
+        .toList();
   }
 
   private static KeptBill toMessage(Bill bill) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -105,7 +106,9 @@
     return breaks.entrySet().stream()
         .anyMatch(
             e ->
-                !e.getKey().equals(name) && Math.abs(e.getValue().at - b.at) < LINK_FAILURE_MILLIS);
+                !e.getKey().equals(name)
+                    && Math.abs(e.getValue().at - b.at) < LINK_FAILURE_MILLIS
+                    && Collections.disjoint(e.getValue().cohort, b.cohort));
   }
 
   private void report(List<Sighting> sightings) {
