--- a/bench-tools/src/main/java/org/hibiscusreel/bench/standin/EngineRole.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/standin/EngineRole.java
@@ -66,6 +66,8 @@
             settings.cacheEventGap,
             settings.seed,
             reactor::currentTimeMillis);
+    // Served until a later report is old enough.
+    reports.addLast(snapshot());
     reactor.delay(settings.stepMs, this::step);
   }
 
