--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
@@ -61,13 +61,13 @@
   private boolean run(Processes processes, Path directory) throws Exception {
     say("logs are in " + directory);
     Topology t = new Topology(directory, List.of("cr-a", "cr-b"), 2, 64);
-    Evidence evidence = new Evidence(t);
+    final Evidence evidence = new Evidence(t);
     Fleet fleet = new Fleet(root, processes, t);
     fleet.start(BUDGET_TOKENS, List.of());
     say("4 daemons are ready");
     DemoLoad load = new DemoLoad(t, seed);
     load.start(rate);
-    int exit = injectFaults(processes, fleet);
+    final int exit = injectFaults(processes, fleet);
     load.stop();
     say("the load ended");
     boolean settled = awaitBills(evidence, load.attempts());
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/explore/Explore.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/explore/Explore.java
@@ -17,6 +17,12 @@
 
   private static final int TIMELINE_EVENTS = 60;
 
+  /** Bounds the output and the time to shorten schedules; further seeds are only listed. */
+  private static final int MAX_SHORTENED = 3;
+
+  private static final int MAX_VIOLATIONS = 10;
+  private static final int MAX_ARRIVALS = 20;
+
   @Parameter(names = "--seeds", description = "Number of seeds")
   private int seeds = 1_000;
 
@@ -47,7 +53,8 @@
   private int run(PrintStream out) {
     List<Long> failing =
         LongStream.range(first, first + seeds).parallel().filter(Explore::fails).boxed().toList();
-    failing.forEach(seed -> print(out, seed));
+    failing.stream().limit(MAX_SHORTENED).forEach(seed -> print(out, seed));
+    failing.stream().skip(MAX_SHORTENED).forEach(seed -> out.printf("seed %d fails%n", seed));
     out.printf("%d passed, %d failed%n", seeds - failing.size(), failing.size());
     return failing.size();
   }
@@ -68,9 +75,12 @@
             RandomTraces.create(seed), t -> !Simulation.run(t, seed).violations().isEmpty());
     RunResult r = Simulation.run(shortened, seed);
     out.printf("seed %d:%n", seed);
-    r.violations().forEach(v -> out.println("  " + v));
+    r.violations().stream().limit(MAX_VIOLATIONS).forEach(v -> out.println("  " + v));
     shortened.faults().forEach(f -> out.println("  " + f));
-    shortened.arrivals().forEach(a -> out.println("  " + a));
+    shortened.arrivals().stream().limit(MAX_ARRIVALS).forEach(a -> out.println("  " + a));
+    if (shortened.arrivals().size() > MAX_ARRIVALS) {
+      out.printf("  and %d more arrivals%n", shortened.arrivals().size() - MAX_ARRIVALS);
+    }
     List<TimelineEvent> events = r.timeline();
     IntStream.range(Math.max(0, events.size() - TIMELINE_EVENTS), events.size())
         .forEach(i -> out.println("    " + events.get(i)));
