Compare the shipped budget policy with two baselines

Cause: no figure told what the allotments gain over simpler policies. Change: ./bench compare with the baselines static-split and central-check on traces of both deployments; failure domains of a simulation may differ in size; attempts record their first piece and their end.

--- a/bench-tools/src/main/java/org/hibiscusreel/bench/check/Attempt.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/check/Attempt.java
@@ -12,6 +12,8 @@
  * @param repeatable whether the request may run more than once
  * @param worth worth of the request
  * @param submittedAt time of the submission in milliseconds
+ * @param firstPieceAt time of the first piece in milliseconds, the end if there was none
+ * @param endedAt time of the end in milliseconds
  * @param outcome what the caller received
  */
 public record Attempt(
@@ -22,4 +24,6 @@
     boolean repeatable,
     double worth,
     long submittedAt,
+    long firstPieceAt,
+    long endedAt,
     Outcome outcome) {}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/compare/BudgetWrites.java
@@ -0,0 +1,73 @@
+package org.hibiscusreel.bench.compare;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.bench.sim.NodeFactory;
+import org.hibiscusreel.coordination.node.NodePorts;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.port.WriteResult;
+
+/** Counts the transactions on budget rows that the platform answered. */
+final class BudgetWrites {
+
+  private static final String PREFIX = "budget/";
+
+  private long count;
+
+  /** Returns the number of transactions so far. */
+  long count() {
+    return count;
+  }
+
+  /** Returns a factory whose daemons are counted. */
+  NodeFactory counting(NodeFactory factory) {
+    return (settings, p) ->
+        factory.create(
+            settings,
+            new NodePorts(
+                p.scheduler(),
+                new CountingTable(p.table()),
+                p.objects(),
+                p.hosts(),
+                p.peers(),
+                p.engines(),
+                p.services(),
+                p.events(),
+                p.random()));
+  }
+
+  private final class CountingTable implements TableService {
+
+    private final TableService table;
+
+    CountingTable(TableService table) {
+      this.table = table;
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
+      boolean isBudget = mutations.stream().anyMatch(m -> m.key().startsWith(PREFIX));
+      return table
+          .transact(mutations)
+          .thenApply(
+              result -> {
+                if (isBudget && !(result instanceof WriteResult.Unknown)) {
+                  count++;
+                }
+                return result;
+              });
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(List<String> keys) {
+      return table.read(keys);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
+      return table.scan(prefix, after, limit);
+    }
+  }
+}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/compare/Policy.java
@@ -0,0 +1,59 @@
+package org.hibiscusreel.bench.compare;
+
+import java.util.Locale;
+import org.hibiscusreel.bench.sim.NodeFactory;
+import org.hibiscusreel.bench.sim.Topology;
+import org.hibiscusreel.coordination.node.CoordinationNode;
+import org.hibiscusreel.coordination.node.NodeDecorators;
+import org.hibiscusreel.coordination.node.NodePorts;
+import org.hibiscusreel.coordination.node.NodeSettings;
+
+/** The policies compared. */
+enum Policy {
+  /** Daemons as shipped. */
+  SHIPPED,
+  /** {@link StaticSplit}. */
+  STATIC_SPLIT,
+  /** {@link CentralCheck}. */
+  CENTRAL_CHECK;
+
+  /** Returns the name as printed. */
+  String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** Builds daemons with this policy. */
+  NodeFactory factory(Topology topology) {
+    return switch (this) {
+      case SHIPPED -> CoordinationNode::new;
+      case STATIC_SPLIT -> (settings, ports) -> staticSplit(topology, settings, ports);
+      case CENTRAL_CHECK -> Policy::centralCheck;
+    };
+  }
+
+  private static CoordinationNode staticSplit(
+      Topology topology, NodeSettings settings, NodePorts ports) {
+    long domains = topology.failureDomains().size();
+    long shares = domains * topology.hosts(settings.self().failureDomain()).size();
+    NodeDecorators none = NodeDecorators.none();
+    return new CoordinationNode(
+        settings,
+        ports,
+        new NodeDecorators(
+            shipped -> new StaticSplit(ports.table(), settings.self().incarnation(), shares),
+            none.billing(),
+            none.claims()));
+  }
+
+  private static CoordinationNode centralCheck(NodeSettings settings, NodePorts ports) {
+    NodeDecorators none = NodeDecorators.none();
+    return new CoordinationNode(
+        settings,
+        ports,
+        new NodeDecorators(
+            shipped ->
+                new CentralCheck(ports.scheduler(), ports.table(), settings.self().incarnation()),
+            none.billing(),
+            none.claims()));
+  }
+}
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/DemoAttempt.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/DemoAttempt.java
@@ -23,6 +23,8 @@
         call.kind() != DemoCall.Kind.SIGN,
         1,
         submittedAt,
+        submittedAt,
+        submittedAt,
         outcome);
   }
 }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Arrival.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Arrival.java
@@ -33,4 +33,15 @@
     /** A plain service call that may not be repeated. */
     ONCE
   }
+
+  /**
+   * Returns the tokens that are reserved for the request.
+   *
+   * @return bytes of the prompt and the token limit of a model call, the price of a service call
+   */
+  public long worstCase() {
+    return kind == Kind.MODEL
+        ? SimText.body(prompt, pieces).length + (long) pieces
+        : Topology.SERVICE_TOKENS;
+  }
 }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/RandomTraces.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/RandomTraces.java
@@ -30,7 +30,7 @@
             new Topology.Budget("tight", "acc-1", 2_000 + r.nextInt(4_000), Lean.BALANCED),
             new Topology.Budget("wide", "acc-1", 1_000_000, Lean.STRICT),
             new Topology.Budget("other", "acc-2", 20_000, Lean.OPEN));
-    Topology t = new Topology("site", DOMAINS, 2, 2, budgets);
+    Topology t = Topology.uniform("site", DOMAINS, 2, 2, budgets);
     return new Trace(t, arrivals(r, budgets), faults(r, t));
   }
 
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/SimulatedCaller.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/SimulatedCaller.java
@@ -118,6 +118,7 @@
     private final SimulatedDaemon daemon;
     private final long submittedAt;
     private final StringBuilder text = new StringBuilder();
+    private long firstPieceAt = -1;
     private boolean ended;
 
     Exchange(SimulatedDaemon daemon, long submittedAt) {
@@ -139,6 +140,9 @@
 
     @Override
     public void onPiece(String piece) {
+      if (firstPieceAt < 0) {
+        firstPieceAt = time.now();
+      }
       text.append(piece);
     }
 
@@ -174,6 +178,8 @@
               arrival.kind() != Arrival.Kind.ONCE,
               arrival.worth(),
               submittedAt,
+              firstPieceAt < 0 ? time.now() : firstPieceAt,
+              time.now(),
               outcome));
       if (isWorthRepeating(outcome)) {
         again();
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Topology.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Topology.java
@@ -9,17 +9,10 @@
  * Shape of a simulated deployment.
  *
  * @param site name of the site
- * @param failureDomains names of the failure domains
- * @param daemonsPerDomain entry hosts in each failure domain
- * @param enginesPerDomain model engines in each failure domain
+ * @param domains the failure domains
  * @param budgets the budgets
  */
-public record Topology(
-    String site,
-    List<String> failureDomains,
-    int daemonsPerDomain,
-    int enginesPerDomain,
-    List<Budget> budgets) {
+public record Topology(String site, List<Domain> domains, List<Budget> budgets) {
 
   /** Name of the simulated model. */
   public static final String MODEL = "writer";
@@ -30,6 +23,15 @@
   /** Price of a plain service call in tokens. */
   public static final long SERVICE_TOKENS = 10;
 
+  /**
+   * A failure domain.
+   *
+   * @param name its name
+   * @param daemons number of entry hosts
+   * @param engines number of model engines
+   */
+  public record Domain(String name, int daemons, int engines) {}
+
   /**
    * A budget.
    *
@@ -42,10 +44,42 @@
 
   /** Copies the lists. */
   public Topology {
-    failureDomains = List.copyOf(failureDomains);
+    domains = List.copyOf(domains);
     budgets = List.copyOf(budgets);
   }
 
+  /**
+   * Creates a deployment whose failure domains are of one size.
+   *
+   * @param site name of the site
+   * @param names names of the failure domains
+   * @param daemons entry hosts in each failure domain
+   * @param engines model engines in each failure domain
+   * @param budgets the budgets
+   * @return the shape
+   */
+  public static Topology uniform(
+      String site, List<String> names, int daemons, int engines, List<Budget> budgets) {
+    return new Topology(
+        site, names.stream().map(n -> new Domain(n, daemons, engines)).toList(), budgets);
+  }
+
+  /**
+   * Returns the names of the failure domains.
+   *
+   * @return the names
+   */
+  public List<String> failureDomains() {
+    return domains.stream().map(Domain::name).toList();
+  }
+
+  private Domain domain(String name) {
+    return domains.stream()
+        .filter(d -> d.name().equals(name))
+        .findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("no failure domain " + name));
+  }
+
   /**
    * Returns the names of the hosts of a failure domain.
    *
@@ -53,7 +87,7 @@
    * @return the names
    */
   public List<String> hosts(String domain) {
-    return numbered(domain + "-host-", daemonsPerDomain);
+    return numbered(domain + "-host-", domain(domain).daemons());
   }
 
   /**
@@ -63,7 +97,7 @@
    * @return the names
    */
   public List<String> engines(String domain) {
-    return numbered(domain + "-engine-", enginesPerDomain);
+    return numbered(domain + "-engine-", domain(domain).engines());
   }
 
   private static List<String> numbered(String prefix, int count) {
@@ -82,10 +116,10 @@
   public String toToml() {
     StringBuilder b = new StringBuilder();
     b.append("[serving]\ndeadline_ms = 30000\nworth = 1.0\npriority = 0\nmax_tokens = 512\n");
-    b.append(String.format("[sites.%s]\nfailure_domains = [%s]\n", site, quoted(failureDomains)));
+    b.append(String.format("[sites.%s]\nfailure_domains = [%s]\n", site, quoted(failureDomains())));
     b.append(String.format("[models.%s]\nmax_tokens = 4096\nmax_concurrent = 0\n", MODEL));
     int port = 9100;
-    for (String d : failureDomains) {
+    for (String d : failureDomains()) {
       for (String e : engines(d)) {
         upstream(b, e, "engine", d, MODEL, port++);
       }
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/check/PromiseCheckerTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/check/PromiseCheckerTest.java
@@ -124,7 +124,7 @@
 
   private static Attempt attempt(String id, boolean service, boolean repeatable, Outcome outcome) {
     return new Attempt(
-        new RequestKey("acc", id), "srv", "text", service, repeatable, 1.0, 10, outcome);
+        new RequestKey("acc", id), "srv", "text", service, repeatable, 1.0, 10, 20, 50, outcome);
   }
 
   private static EngineRun run(String id, String reservation, long tokens) {
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/Script.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/Script.java
@@ -82,7 +82,7 @@
     if (simulation == null) {
       arrivals.sort(Comparator.comparingLong(Arrival::at));
       faults.sort(Comparator.comparingLong(Fault::at));
-      Topology t = new Topology("site", domains, hosts, engines, budgets);
+      Topology t = Topology.uniform("site", domains, hosts, engines, budgets);
       simulation = new Simulation(new Trace(t, arrivals, faults), SEED, CoordinationNode::new);
     }
     return simulation;
