--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -48,6 +48,7 @@
    */
   private static final long ROUND_INTERVAL_MILLIS = 40_000;
 
+  private static final long MIN_ROUND_INTERVAL_MILLIS = 1_000;
   private static final long FIRST_RETRY_MILLIS = 100;
   private static final long MAX_RETRY_MILLIS = 10_000;
 
@@ -89,6 +90,10 @@
   private final Set<String> reclaimed = new HashSet<>();
   private Cancellable timer = () -> {};
   private Set<String> terminatedUpstreams = Set.of();
+
+  /** Time until the usage of a dead incarnation is due, so that no whole round is waited for. */
+  private long nextCollectionMillis = Long.MAX_VALUE;
+
   private boolean isStopped;
 
   /**
@@ -185,7 +190,9 @@
 
   private void scheduleRound() {
     long jitter = Math.floorMod(random.getAsLong(), ROUND_INTERVAL_MILLIS / 2);
-    timer = scheduler.schedule(ROUND_INTERVAL_MILLIS / 2 + jitter, this::round);
+    long regular = ROUND_INTERVAL_MILLIS / 2 + jitter;
+    long delay = Math.max(MIN_ROUND_INTERVAL_MILLIS, Math.min(regular, nextCollectionMillis));
+    timer = scheduler.schedule(delay, this::round);
   }
 
   private static CompletableFuture<Void> nothing() {
@@ -282,9 +289,15 @@
     deadSinceMillis.keySet().retainAll(dead);
     long now = scheduler.nowMillis();
     dead.forEach(id -> deadSinceMillis.putIfAbsent(id, now));
+    List<String> own = dead.stream().filter(id -> isResponsible(registry, id)).toList();
+    nextCollectionMillis =
+        own.stream()
+            .mapToLong(id -> deadSinceMillis.get(id) + COLLECT_DELAY_MILLIS - now)
+            .filter(millis -> millis > 0)
+            .min()
+            .orElse(Long.MAX_VALUE);
     List<String> due =
-        dead.stream()
-            .filter(id -> isResponsible(registry, id))
+        own.stream()
             .filter(id -> now - deadSinceMillis.get(id) >= COLLECT_DELAY_MILLIS)
             .limit(MAX_JOBS_PER_ROUND)
             .toList();
