Keep an allotment at the tolerated outage when an outage begins

Cause: allotments were refilled below half of the target, so a cut found about three quarters of the demand of 30 minutes; the refusals came in the last third of the cut. Change: refill below the target to one and a half times the target; a refill that adds less than half of what is held is left out, since a nearly used budget cost a write each few seconds.

--- a/core/src/main/java/org/hibiscusreel/core/budget/AllotmentSizing.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AllotmentSizing.java
@@ -6,6 +6,9 @@
   /** Room for one request in progress and the next one. */
   private static final long MIN_WORST_CASES = 2;
 
+  /** A refill adds at least this part, one in so many, of the tokens held. */
+  private static final long MIN_REFILL_PART = 2;
+
   private AllotmentSizing() {}
 
   /**
@@ -24,7 +27,8 @@
   /**
    * Returns the tokens to draw. The tokens that waiting reservations need are drawn if possible;
    * beyond that, the draw takes at most one part of the undrawn amount, split in one part more than
-   * there are failure domains, so that each of them finds something left.
+   * there are failure domains, so that each of them finds something left. A refill that adds little
+   * is not drawn, since a nearly used budget would cost a write each few seconds.
    *
    * @param target target of the allotment in tokens
    * @param available unreserved tokens of the allotment
@@ -35,20 +39,22 @@
    */
   public static long draw(
       long target, long available, long needed, long undrawn, int failureDomains) {
-    long wanted = Math.max(needed, target - available);
+    long wanted = Math.max(needed, filled(target) - available);
     long limit = Math.max(needed, undrawn / (failureDomains + 1));
-    return Math.max(0, Math.min(undrawn, Math.min(wanted, limit)));
+    long tokens = Math.max(0, Math.min(undrawn, Math.min(wanted, limit)));
+    return needed <= 0 && tokens < available / MIN_REFILL_PART ? 0 : tokens;
   }
 
   /**
-   * Tells whether an allotment should be refilled.
+   * Tells whether an allotment should be refilled. An outage may begin just before a refill, so an
+   * allotment that lasts for less than the tolerated outage is low.
    *
    * @param target target of the allotment in tokens
    * @param available unreserved tokens of the allotment
-   * @return true below half of the target
+   * @return true below the target
    */
   public static boolean isLow(long target, long available) {
-    return available < target / 2;
+    return available < target;
   }
 
   /**
@@ -56,9 +62,15 @@
    *
    * @param target target of the allotment in tokens
    * @param available unreserved tokens of the allotment
-   * @return what exceeds the target if the allotment holds over twice of it, otherwise 0
+   * @return what exceeds one and a half times the target if the allotment holds over twice of it,
+   *     otherwise 0
    */
   public static long surplus(long target, long available) {
-    return available > 2 * target ? available - target : 0;
+    return available > 2 * target ? available - filled(target) : 0;
+  }
+
+  /** Half a target above the low mark keeps refills as rare as half the tolerated outage. */
+  private static long filled(long target) {
+    return target + target / 2;
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/budget/AllotmentSizingTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AllotmentSizingTest.java
@@ -20,17 +20,28 @@
     assertThat(AllotmentSizing.draw(1_000, 0, 10, 400, 3)).isEqualTo(100);
     assertThat(AllotmentSizing.draw(1_000, 0, 300, 400, 3)).isEqualTo(300);
     assertThat(AllotmentSizing.draw(1_000, 0, 500, 400, 3)).isEqualTo(400);
-    assertThat(AllotmentSizing.draw(50, 20, 0, 400, 3)).isEqualTo(30);
-    assertThat(AllotmentSizing.draw(50, 60, 0, 400, 3)).isZero();
+    assertThat(AllotmentSizing.draw(50, 20, 0, 400, 3)).isEqualTo(55);
+    assertThat(AllotmentSizing.draw(50, 75, 0, 400, 3)).isZero();
   }
 
-  /** Guards against returning and drawing the same tokens in turn. */
+  /** Guards against a write every few seconds for a budget that is nearly used up. */
+  @Test
+  void refillsOnlyByAGoodPartOfWhatIsHeld() {
+    assertThat(AllotmentSizing.draw(1_000, 200, 0, 400, 3)).isEqualTo(100);
+    assertThat(AllotmentSizing.draw(1_000, 202, 0, 400, 3)).isZero();
+    assertThat(AllotmentSizing.draw(1_000, 202, 10, 400, 3)).isEqualTo(100);
+  }
+
+  /**
+   * Guards against returning and drawing the same tokens in turn, and against an allotment that an
+   * outage finds with less than the target.
+   */
   @Test
   void keepsTheTargetAndReturnsOnlyAboveTwiceOfIt() {
     assertThat(AllotmentSizing.surplus(100, 200)).isZero();
-    assertThat(AllotmentSizing.surplus(100, 201)).isEqualTo(101);
-    assertThat(AllotmentSizing.isLow(100, 50)).isFalse();
-    assertThat(AllotmentSizing.isLow(100, 49)).isTrue();
+    assertThat(AllotmentSizing.surplus(100, 201)).isEqualTo(51);
+    assertThat(AllotmentSizing.isLow(100, 100)).isFalse();
+    assertThat(AllotmentSizing.isLow(100, 99)).isTrue();
   }
 
   /** Guards against a forecast that is far off a steady demand or remembers it for long. */
