--- a/bench-tools/src/main/java/org/hibiscusreel/bench/compare/DeploymentTraces.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/compare/DeploymentTraces.java
@@ -25,6 +25,8 @@
   /** Share of the calls of an account that come from one failure domain; the rest is uniform. */
   private static final double HOME_SHARE = 0.5;
 
+  private static final double SHORT_RATE_PER_SECOND = 0.5;
+
   private static final int MIN_PIECES = 4;
   private static final int MAX_PIECES = 12;
 
@@ -76,15 +78,36 @@
    */
   public static Map<String, LongFunction<Trace>> all() {
     Map<String, LongFunction<Trace>> m = new LinkedHashMap<>();
-    m.put("costa-rica-cut", s -> trace(COSTA_RICA, s, DURATION_MILLIS, cut("cr-a")));
-    m.put("bangkok-cut", s -> trace(BANGKOK, s, DURATION_MILLIS, cut("bkk-a")));
+    m.put(
+        "costa-rica-cut",
+        s -> trace(COSTA_RICA, s, DURATION_MILLIS, cut("cr-a", CUT_AT_MILLIS, CUT_FOR_MILLIS)));
+    m.put(
+        "bangkok-cut",
+        s -> trace(BANGKOK, s, DURATION_MILLIS, cut("bkk-a", CUT_AT_MILLIS, CUT_FOR_MILLIS)));
     m.put("costa-rica-crashes", s -> trace(COSTA_RICA, s, DURATION_MILLIS, crashes()));
     return m;
   }
 
-  private static List<Fault> cut(String domain) {
-    return List.of(
-        new Fault(CUT_AT_MILLIS, Fault.Kind.CUT, domain, Links.PLATFORM, CUT_FOR_MILLIS, 0));
+  /**
+   * Returns traces of ten minutes, small enough to be kept as files, by name.
+   *
+   * @return functions from a seed to a trace
+   */
+  public static Map<String, LongFunction<Trace>> recordable() {
+    Map<String, LongFunction<Trace>> m = new LinkedHashMap<>();
+    m.put("costa-rica-short-cut", s -> shortCut(COSTA_RICA, "cr-a", s));
+    m.put("bangkok-short-cut", s -> shortCut(BANGKOK, "bkk-a", s));
+    return m;
+  }
+
+  private static Trace shortCut(Site site, String domain, long seed) {
+    Site slower =
+        new Site(site.name(), site.domains(), site.weights(), site.lean(), SHORT_RATE_PER_SECOND);
+    return trace(slower, seed, 10 * MINUTE, cut(domain, 3 * MINUTE, 5 * MINUTE));
+  }
+
+  private static List<Fault> cut(String domain, long atMillis, long forMillis) {
+    return List.of(new Fault(atMillis, Fault.Kind.CUT, domain, Links.PLATFORM, forMillis, 0));
   }
 
   private static List<Fault> crashes() {
