Name a test of the allotment sizes as Checkstyle wants it

Cause: two single-letter words in a row count as an abbreviation. Change: the name of the test. Conclusion: the style check of core passes.

--- a/core/src/test/java/org/hibiscusreel/core/budget/AllotmentSizingTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AllotmentSizingTest.java
@@ -26,7 +26,7 @@
 
   /** Guards against a write every few seconds for a budget that is nearly used up. */
   @Test
-  void refillsOnlyByAGoodPartOfWhatIsHeld() {
+  void refillsOnlyByMuchOfTheTokensHeld() {
     assertThat(AllotmentSizing.draw(1_000, 200, 0, 400, 3)).isEqualTo(100);
     assertThat(AllotmentSizing.draw(1_000, 202, 0, 400, 3)).isZero();
     assertThat(AllotmentSizing.draw(1_000, 202, 10, 400, 3)).isEqualTo(100);
