--- a/bench-tools/src/main/java/org/hibiscusreel/bench/check/Observations.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/check/Observations.java
@@ -14,6 +14,8 @@
  * @param attempts attempts of the callers in order of submission
  * @param engineRuns generations that engines saw
  * @param serviceRuns runs that plain services saw
+ * @param configVersions versions of the configuration in force at each incarnation, in order of
+ *     time
  * @param settled whether all faults ended long enough ago for every bill to be in the platform
  */
 public record Observations(
@@ -23,6 +25,7 @@
     List<Attempt> attempts,
     List<EngineRun> engineRuns,
     List<ServiceRun> serviceRuns,
+    Map<String, List<Long>> configVersions,
     boolean settled) {
 
   /** Copies the collections. */
@@ -33,5 +36,6 @@
     attempts = List.copyOf(attempts);
     engineRuns = List.copyOf(engineRuns);
     serviceRuns = List.copyOf(serviceRuns);
+    configVersions = Map.copyOf(configVersions);
   }
 }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/check/PromiseChecker.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/check/PromiseChecker.java
@@ -43,6 +43,7 @@
     c.checkAnswers();
     c.checkServiceRuns();
     c.checkModelRefusals();
+    c.checkConfigVersions();
     return c.violations;
   }
 
@@ -184,6 +185,21 @@
     }
   }
 
+  /** The configuration in force at a daemon must never go back to an earlier version. */
+  private void checkConfigVersions() {
+    seen.configVersions()
+        .forEach(
+            (incarnation, versions) -> {
+              for (int i = 1; i < versions.size(); i++) {
+                if (versions.get(i) < versions.get(i - 1)) {
+                  report(
+                      Promise.CONFIGURATION_REVERTED,
+                      incarnation + " went from " + versions.get(i - 1) + " to " + versions.get(i));
+                }
+              }
+            });
+  }
+
   private void checkAnswers() {
     for (Attempt a : seen.attempts()) {
       if (a.outcome() instanceof Outcome.Whole w && !w.text().equals(a.expected())) {
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/check/Violation.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/check/Violation.java
@@ -16,6 +16,7 @@
     WRONG_AMOUNT,
     INCOMPLETE_ANSWER,
     UNTRUE_REFUSAL,
-    RUN_TWICE
+    RUN_TWICE,
+    CONFIGURATION_REVERTED
   }
 }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/compare/Policy.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/compare/Policy.java
@@ -42,7 +42,8 @@
         new NodeDecorators(
             shipped -> new StaticSplit(ports.table(), settings.self().incarnation(), shares),
             none.billing(),
-            none.claims()));
+            none.claims(),
+            none.configuration()));
   }
 
   private static CoordinationNode centralCheck(NodeSettings settings, NodePorts ports) {
@@ -54,6 +55,7 @@
             shipped ->
                 new CentralCheck(ports.scheduler(), ports.table(), settings.self().incarnation()),
             none.billing(),
-            none.claims()));
+            none.claims(),
+            none.configuration()));
   }
 }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Evidence.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Evidence.java
@@ -110,7 +110,7 @@
       }
     }
     return new Observations(
-        budgets, allotments, bills, named(attempts), engineRuns, serviceRuns, settled);
+        budgets, allotments, bills, named(attempts), engineRuns, serviceRuns, Map.of(), settled);
   }
 
   /** An attempt was sent to an address; the incarnation that listened there then is its server. */
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Fault.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Fault.java
@@ -44,6 +44,8 @@
     LOST_RECEIPTS,
     /** Tokens are added to a budget. */
     TOP_UP,
+    /** The configuration is published again as the next version. */
+    PUBLISH,
     /** An engine announces that it is leaving. */
     ENGINE_LEAVING
   }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FaultInjector.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/FaultInjector.java
@@ -61,6 +61,7 @@
         later(f, () -> simulation.services().setLostResponses(0));
       }
       case TOP_UP -> topUp(f);
+      case PUBLISH -> simulation.publish();
       case ENGINE_LEAVING -> simulation.engines().setLeaving(f.target(), true);
       default -> throw new IllegalArgumentException("unknown fault " + f.kind());
     }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/ObservationReader.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/ObservationReader.java
@@ -29,6 +29,7 @@
       FakeEngines engines,
       FakeServices services,
       List<Attempt> attempts,
+      Map<String, List<Long>> configVersions,
       boolean settled) {
     Map<String, BudgetRow> budgets = new HashMap<>();
     for (Row r : table.rows("budget/")) {
@@ -55,6 +56,7 @@
         services.runs().stream()
             .map(r -> new ServiceRun(r.upstream(), r.method(), r.idempotencyKey(), r.at()))
             .toList(),
+        configVersions,
         settled);
   }
 
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Simulation.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Simulation.java
@@ -34,6 +34,7 @@
 
   private static final long SETTLE_MILLIS = 180_000;
   private static final long LINK_DELAY_MILLIS = 1;
+  private static final long SAMPLE_MILLIS = 1_000;
   private static final int MAX_BUFFERED_BILLS = 20_000;
   private static final long DRAIN_MILLIS = 30_000;
 
@@ -52,6 +53,7 @@
   private final List<Attempt> attempts = new ArrayList<>();
   private final List<TimelineEvent> timeline = new ArrayList<>();
   private final FaultInjector injector;
+  private final Map<String, List<Long>> configVersions = new HashMap<>();
   private boolean settled;
   private long configVersion;
 
@@ -109,6 +111,7 @@
     for (String d : trace.topology().failureDomains()) {
       trace.topology().hosts(d).forEach(this::startDaemon);
     }
+    sampleConfigVersions();
     for (Arrival a : trace.arrivals()) {
       time.schedule(
           WARM_UP_MILLIS + a.at(),
@@ -119,6 +122,22 @@
     }
   }
 
+  private void sampleConfigVersions() {
+    for (SimulatedDaemon d : daemons.values()) {
+      if (d.scope().isRunning()) {
+        d.node()
+            .configuration()
+            .current()
+            .ifPresent(
+                c ->
+                    configVersions
+                        .computeIfAbsent(d.incarnation(), i -> new ArrayList<>())
+                        .add(c.version()));
+      }
+    }
+    time.schedule(SAMPLE_MILLIS, this::sampleConfigVersions);
+  }
+
   /**
    * Runs up to a time of the trace.
    *
@@ -251,7 +270,8 @@
    * @return the outcome
    */
   public RunResult result() {
-    Observations seen = ObservationReader.read(table, engines, services, attempts, settled);
+    Observations seen =
+        ObservationReader.read(table, engines, services, attempts, configVersions, settled);
     List<TimelineEvent> ordered =
         timeline.stream().sorted(Comparator.comparing(TimelineEvent::at)).toList();
     return new RunResult(
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/check/PromiseCheckerTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/check/PromiseCheckerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.hibiscusreel.bench.check.Violation.Promise;
@@ -24,6 +25,7 @@
   private final List<Attempt> attempts = new ArrayList<>();
   private final List<EngineRun> engineRuns = new ArrayList<>();
   private final List<ServiceRun> serviceRuns = new ArrayList<>();
+  private final Map<String, List<Long>> configVersions = new HashMap<>();
   private long granted = 1_000;
 
   @Test
@@ -100,6 +102,14 @@
     assertThat(promises()).containsExactly(Promise.RUN_TWICE);
   }
 
+  @Test
+  void reportsConfigurationThatGoesBack() {
+    configVersions.put("srv", List.of(1L, 2L, 2L));
+    assertThat(promises()).isEmpty();
+    configVersions.put("srv", List.of(1L, 2L, 1L));
+    assertThat(promises()).containsExactly(Promise.CONFIGURATION_REVERTED);
+  }
+
   private void serve(String id, long tokens) {
     attempts.add(attempt(id, false, true, new Outcome.Whole("text")));
     engineRuns.add(run(id, "res-" + id, tokens));
@@ -118,6 +128,7 @@
             attempts,
             engineRuns,
             serviceRuns,
+            configVersions,
             true);
     return PromiseChecker.check(o).stream().map(Violation::promise).distinct().toList();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeDecorators.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeDecorators.java
@@ -3,6 +3,7 @@
 import java.util.function.UnaryOperator;
 import org.hibiscusreel.coordination.budget.BudgetReservations;
 import org.hibiscusreel.coordination.claim.Claims;
+import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.ledger.Billing;
 
 /**
@@ -11,11 +12,13 @@
  * @param budgets wraps the reservations
  * @param billing wraps the bills
  * @param claims wraps the claims
+ * @param configuration wraps the view of the configuration
  */
 public record NodeDecorators(
     UnaryOperator<BudgetReservations> budgets,
     UnaryOperator<Billing> billing,
-    UnaryOperator<Claims> claims) {
+    UnaryOperator<Claims> claims,
+    UnaryOperator<ConfigurationView> configuration) {
 
   /**
    * Returns decorators that change nothing.
@@ -24,6 +27,9 @@
    */
   public static NodeDecorators none() {
     return new NodeDecorators(
-        UnaryOperator.identity(), UnaryOperator.identity(), UnaryOperator.identity());
+        UnaryOperator.identity(),
+        UnaryOperator.identity(),
+        UnaryOperator.identity(),
+        UnaryOperator.identity());
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -43,6 +43,7 @@
   private final BudgetReservations decoratedBudgets;
   private final Billing decoratedBilling;
   private final Claims decoratedClaims;
+  private final ConfigurationView decoratedConfiguration;
 
   PlatformServices(
       NodeSettings settings,
@@ -91,6 +92,7 @@
             ports.random(),
             settings.self().incarnation());
     decoratedClaims = decorators.claims().apply(claims);
+    decoratedConfiguration = decorators.configuration().apply(configuration);
     keptBills =
         new KeptBills(
             ports.scheduler(),
@@ -144,7 +146,7 @@
 
   @Override
   public ConfigurationView configuration() {
-    return configuration;
+    return decoratedConfiguration;
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/AllotmentReclaimer.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/AllotmentReclaimer.java
@@ -21,20 +21,31 @@
 import org.hibiscusreel.core.recovery.Reclamation;
 
 /** Returns what a dead holder had drawn and not spent. The caller checks the conditions. */
-final class AllotmentReclaimer {
+public final class AllotmentReclaimer {
 
   private record Reads(Optional<List<Row>> spent, ReadResult budget) {}
 
   private final TableService table;
   private final EventRecorder events;
 
-  AllotmentReclaimer(TableService table, EventRecorder events) {
+  /**
+   * Creates a reclaimer.
+   *
+   * @param table the platform
+   * @param events recorder of the event timeline
+   */
+  public AllotmentReclaimer(TableService table, EventRecorder events) {
     this.table = Objects.requireNonNull(table, "table");
     this.events = Objects.requireNonNull(events, "events");
   }
 
-  /** Reclaims all allotments of a holder; true if none is left open. */
-  CompletableFuture<Boolean> reclaim(String holder) {
+  /**
+   * Reclaims all allotments of a holder.
+   *
+   * @param holder incarnation whose allotments are reclaimed
+   * @return true if none is left open
+   */
+  public CompletableFuture<Boolean> reclaim(String holder) {
     return TableReads.scanAll(table, TableKeys.allotments(holder))
         .thenCompose(
             rows -> {
