--- a/bench-tools/src/main/java/org/hibiscusreel/bench/compare/Compare.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/compare/Compare.java
@@ -71,12 +71,12 @@
     rows.forEach(r -> out.println(r.toLine()));
     for (String name : rows.stream().map(Comparison::trace).distinct().toList()) {
       List<Comparison> of = rows.stream().filter(r -> r.trace().equals(name)).toList();
-      double worth = share(of, Comparison::falseRefusalWorth, Policy.STATIC_SPLIT);
-      double writes = share(of, Comparison::writes, Policy.CENTRAL_CHECK);
-      double budgetWrites = share(of, Comparison::budgetWrites, Policy.CENTRAL_CHECK);
       out.printf("%s:%n", name);
+      double worth = share(of, Comparison::falseRefusalWorth, Policy.STATIC_SPLIT);
       print(out, "false refusals by worth, of static-split", worth, FALSE_REFUSAL_SHARE);
+      double writes = share(of, Comparison::writes, Policy.CENTRAL_CHECK);
       print(out, "all platform writes, of central-check", writes, WRITE_SHARE);
+      double budgetWrites = share(of, Comparison::budgetWrites, Policy.CENTRAL_CHECK);
       print(out, "writes of budget rows, of central-check", budgetWrites, WRITE_SHARE);
     }
     boolean isCorrect =
