--- a/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Simulation.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/sim/Simulation.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,6 +50,7 @@
   private final FakeServices services;
   private final Map<String, SimulatedDaemon> daemons = new HashMap<>();
   private final Map<String, Integer> runs = new HashMap<>();
+  private final Map<String, Integer> hostNumbers = new LinkedHashMap<>();
   private final List<Attempt> attempts = new ArrayList<>();
   private final List<TimelineEvent> timeline = new ArrayList<>();
   private final FaultInjector injector;
@@ -72,6 +74,9 @@
     this.engines = new FakeEngines(time, links, new Random(random.nextLong()));
     this.services = new FakeServices(time, links, new Random(random.nextLong()));
     this.injector = new FaultInjector(this);
+    for (String d : trace.topology().failureDomains()) {
+      trace.topology().hosts(d).forEach(h -> hostNumbers.put(h, hostNumbers.size()));
+    }
   }
 
   /**
@@ -227,22 +232,19 @@
         .orElseThrow(() -> new IllegalArgumentException("host " + host + " does not exist"));
   }
 
-  private List<String> allHosts() {
-    return trace.topology().failureDomains().stream()
-        .flatMap(d -> trace.topology().hosts(d).stream())
-        .toList();
-  }
-
   private String peerAddress(String host) {
-    return "127.0.0.1:" + (20_000 + allHosts().indexOf(host));
+    return "127.0.0.1:" + (20_000 + hostNumbers.get(host));
   }
 
   private String adminOf(String host) {
-    return "127.0.0.1:" + (30_000 + allHosts().indexOf(host));
+    return "127.0.0.1:" + (30_000 + hostNumbers.get(host));
   }
 
   private List<String> seeds(String host) {
-    return allHosts().stream().filter(h -> !h.equals(host)).map(this::peerAddress).toList();
+    return hostNumbers.keySet().stream()
+        .filter(h -> !h.equals(host))
+        .map(this::peerAddress)
+        .toList();
   }
 
   /**
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/NodeRig.java
@@ -0,0 +1,214 @@
+package org.hibiscusreel.bench.slopes;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.bench.sim.ProcessScope;
+import org.hibiscusreel.bench.sim.VirtualTime;
+import org.hibiscusreel.coordination.config.ConfigurationBody;
+import org.hibiscusreel.coordination.config.ConfigurationHead;
+import org.hibiscusreel.coordination.membership.MemberInfo;
+import org.hibiscusreel.coordination.node.CoordinationNode;
+import org.hibiscusreel.coordination.node.NodePorts;
+import org.hibiscusreel.coordination.node.NodeSettings;
+import org.hibiscusreel.coordination.port.EngineCall;
+import org.hibiscusreel.coordination.port.EngineClient;
+import org.hibiscusreel.coordination.port.ObjectStore;
+import org.hibiscusreel.coordination.port.PeerTransport;
+import org.hibiscusreel.coordination.port.PlainServiceClient;
+import org.hibiscusreel.wire.Member;
+import org.hibiscusreel.wire.ProbeRequest;
+import org.hibiscusreel.wire.ReserveRequest;
+import org.hibiscusreel.wire.ReserveResponse;
+import org.hibiscusreel.wire.SettleEntry;
+import org.hibiscusreel.wire.SettleRequest;
+
+/** One node as shipped, alone on ports that keep nothing, for figures of memory and CPU. */
+final class NodeRig {
+
+  private static final int MAX_BILLS = 1_000_000;
+  private static final long DRAIN_MILLIS = 30_000;
+  private static final long WAIT_STEP_MILLIS = 20;
+  private static final int MAX_WAIT_STEPS = 100;
+  private static final String SELF = "host-0.1767600000000.0a1b2c3d";
+
+  private final VirtualTime time = new VirtualTime();
+  private final ProcessScope scope = new ProcessScope(time);
+  private final SyntheticTable table = new SyntheticTable();
+  private final CoordinationNode node;
+  private byte[] object = new byte[0];
+  private long version;
+
+  NodeRig() {
+    MemberInfo self =
+        new MemberInfo(SELF, "host-0", "domain-0", "site-0", "127.0.0.1:7000", "127.0.0.1:8000");
+    Random random = new Random(1);
+    node =
+        new CoordinationNode(
+            new NodeSettings(self, "boot", List.of(), MAX_BILLS, DRAIN_MILLIS),
+            new NodePorts(
+                scope,
+                table,
+                objects(),
+                () -> CompletableFuture.completedFuture(Optional.empty()),
+                silent(PeerTransport.class),
+                silent(EngineClient.class),
+                silent(PlainServiceClient.class),
+                event -> {},
+                random::nextLong));
+    var unused = node.start();
+    advance(100);
+  }
+
+  CoordinationNode node() {
+    return node;
+  }
+
+  SyntheticTable table() {
+    return table;
+  }
+
+  ProcessScope scope() {
+    return scope;
+  }
+
+  void advance(long millis) {
+    time.runUntil(time.now() + millis);
+  }
+
+  /** Publishes a configuration and waits until the node has polled it. */
+  void publish(String toml) {
+    object = new ConfigurationBody(toml, Map.of()).toBytes();
+    version++;
+    table.setHead(new ConfigurationHead(version, ConfigurationBody.digest(object)));
+    advance(1_000);
+    if (node.configuration().current().map(c -> c.version()).orElse(0L) != version) {
+      throw new IllegalStateException("the configuration was not applied");
+    }
+    object = new byte[0];
+  }
+
+  /** Returns the probe of a member as it arrives. */
+  static byte[] probe(int sender, int others) {
+    ProbeRequest.Builder b = ProbeRequest.newBuilder().setSender(member(sender));
+    for (int i = 1; i <= others; i++) {
+      b.addUpdates(member(sender + i));
+    }
+    return b.build().toByteArray();
+  }
+
+  private static Member member(int i) {
+    return Member.newBuilder()
+        .setIncarnation(String.format("host-%d.1767600000000.%08x", i, i))
+        .setHost("host-" + i)
+        .setFailureDomain("domain-" + i % 7)
+        .setSite("site-" + i % 2)
+        .setPeerAddress("127.0.0.1:" + (10_000 + i))
+        .setAdminAddress("127.0.0.1:" + (30_000 + i))
+        .build();
+  }
+
+  /** Handles a probe from its bytes to the bytes of the response. */
+  int handleProbe(byte[] probe) {
+    try {
+      return node.peerHandler().probe(ProbeRequest.parseFrom(probe)).join().toByteArray().length;
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Reserves for another server, from the bytes of the message to those of the response. */
+  int reserve(int number, String budget) {
+    CompletableFuture<ReserveResponse> response = startReserve(number, budget);
+    for (int i = 0; i < MAX_WAIT_STEPS && !response.isDone(); i++) {
+      advance(WAIT_STEP_MILLIS);
+    }
+    if (!response.isDone() || !response.join().getHolder().equals(SELF)) {
+      throw new IllegalStateException("not granted: " + response);
+    }
+    return response.join().toByteArray().length;
+  }
+
+  /** Reserves for another server without waiting for the response. */
+  CompletableFuture<ReserveResponse> startReserve(int number, String budget) {
+    ReserveRequest request =
+        ReserveRequest.newBuilder()
+            .setBudget(budget)
+            .setAccount(SyntheticTable.ACCOUNT)
+            .setRequestId(String.format("6f1c2d3e-0000-4000-8000-%012x", number))
+            .setReservationId("host-9.1767600000000.0a1b2c3d.r" + number)
+            .setTokens(1_000)
+            .setServer("host-9.1767600000000.0a1b2c3d")
+            .setWaitMillis(MAX_WAIT_STEPS * WAIT_STEP_MILLIS)
+            .build();
+    try {
+      return node.peerHandler().reserve(ReserveRequest.parseFrom(request.toByteArray()));
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Closes a reservation, from the bytes of the message to those of the response. */
+  int settle(int number, String budget) {
+    SettleEntry entry =
+        SettleEntry.newBuilder()
+            .setReservationId("host-9.1767600000000.0a1b2c3d.r" + number)
+            .setBudget(budget)
+            .setHolder(SELF)
+            .setTokens(500)
+            .setFinal(true)
+            .build();
+    byte[] message = SettleRequest.newBuilder().addEntries(entry).build().toByteArray();
+    try {
+      var response = node.peerHandler().settle(SettleRequest.parseFrom(message));
+      return response.join().toByteArray().length;
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private ObjectStore objects() {
+    return new ObjectStore() {
+      @Override
+      public CompletableFuture<Boolean> put(String key, byte[] body) {
+        return CompletableFuture.completedFuture(true);
+      }
+
+      @Override
+      public CompletableFuture<GetResult> get(String key) {
+        return CompletableFuture.completedFuture(new GetResult.Found(object));
+      }
+
+      @Override
+      public CompletableFuture<ListResult> list(String prefix) {
+        return CompletableFuture.completedFuture(new ListResult.Keys(List.of()));
+      }
+    };
+  }
+
+  /** Returns a port whose calls are never answered. */
+  private static <T> T silent(Class<T> type) {
+    EngineCall call =
+        new EngineCall() {
+          @Override
+          public void pause() {}
+
+          @Override
+          public void proceed() {}
+
+          @Override
+          public void cancel() {}
+        };
+    Object proxy =
+        Proxy.newProxyInstance(
+            type.getClassLoader(),
+            new Class<?>[] {type},
+            (self, method, args) ->
+                method.getReturnType() == EngineCall.class ? call : new CompletableFuture<>());
+    return type.cast(proxy);
+  }
+}
--- /dev/null
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/package-info.java
@@ -0,0 +1,2 @@
+/** Measures how state, messages and processor time grow, as slopes of straight lines. */
+package org.hibiscusreel.bench.slopes;
