--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Demo.java
@@ -15,6 +15,9 @@
 import org.hibiscusreel.bench.check.Outcome;
 import org.hibiscusreel.bench.check.PromiseChecker;
 import org.hibiscusreel.bench.check.Violation;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.core.recovery.IncarnationRow;
+import org.hibiscusreel.core.recovery.IncarnationState;
 import org.hibiscusreel.core.request.Ran;
 
 /** Runs the whole system as processes on loopback under faults and checks the outcome. */
@@ -72,11 +75,12 @@
     load.stop();
     say("the load ended");
     Evidence evidence = new Evidence(t);
-    final boolean settled = awaitBills(evidence, load.attempts());
+    final boolean settled = awaitBills(evidence, load.attempts()) && awaitRecovery(evidence);
+    final int lastExit = stopRemaining(processes);
     out.println(fleet.ctl("report"));
     Observations seen = evidence.collect(load.attempts(), settled);
     List<Violation> violations = PromiseChecker.check(seen);
-    boolean isStopWhole = summarize(load.attempts(), seen) && exit == 0;
+    boolean isStopWhole = summarize(load.attempts(), seen) && exit == 0 && lastExit == 0;
     violations.forEach(v -> out.println("BROKEN " + v.promise() + ": " + v.detail()));
     say(violations.isEmpty() && settled && isStopWhole ? "every promise holds" : "FAILED");
     return violations.isEmpty() && settled && isStopWhole;
@@ -129,6 +133,39 @@
     }
   }
 
+  /** Waits until what the killed daemon left behind is recovered, so that the report is final. */
+  private boolean awaitRecovery(Evidence evidence) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(SETTLE_SECONDS);
+    while (System.nanoTime() < end) {
+      boolean isRecovered =
+          evidence.rows("incarnation/").values().stream()
+              .map(v -> Json.read(v, IncarnationRow.class))
+              .anyMatch(r -> r.state() == IncarnationState.RECOVERED);
+      if (isRecovered) {
+        say("the killed daemon is recovered");
+        return true;
+      }
+      TimeUnit.MILLISECONDS.sleep(250);
+    }
+    out.println("NOT RECOVERED " + KILLED);
+    return false;
+  }
+
+  /** Stops the remaining daemons, which flush their counters; returns the last bad exit code. */
+  private int stopRemaining(Processes processes) throws Exception {
+    List<String> remaining = List.of(KILLED, FROZEN, "cr-a-2");
+    for (String host : remaining) {
+      processes.signal(host, "TERM");
+    }
+    int exit = 0;
+    for (String host : remaining) {
+      boolean isOver = processes.get(host).waitFor(READY_SECONDS, TimeUnit.SECONDS);
+      exit = isOver && processes.get(host).exitValue() == 0 ? exit : -1;
+    }
+    say("stopped the remaining daemons" + (exit == 0 ? "" : ", not all with status 0"));
+    return exit;
+  }
+
   /** Prints counts; returns whether the gracefully stopped daemon interrupted no request. */
   private boolean summarize(List<DemoAttempt> attempts, Observations seen) {
     Map<String, Long> outcomes =
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -174,6 +174,11 @@
     return budgets.tokensHeld();
   }
 
+  @Override
+  public boolean isRegistered() {
+    return budgets.isRegistered();
+  }
+
   @Override
   public void start() {
     configuration.start();
