--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -184,7 +184,10 @@
    *     and once the node is stopping
    */
   public boolean isReady() {
-    return started && stopping == null && services.configuration().current().isPresent();
+    return started
+        && stopping == null
+        && services.isRegistered()
+        && services.configuration().current().isPresent();
   }
 
   /**
