--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/CoordinationNode.java
@@ -180,10 +180,14 @@
   /**
    * Tells whether requests are accepted.
    *
-   * @return false before a configuration is in force, and once the node is stopping
+   * @return false before the node is registered in the platform and a configuration is in force,
+   *     and once the node is stopping
    */
   public boolean isReady() {
-    return started && stopping == null && services.configuration().current().isPresent();
+    return started
+        && stopping == null
+        && services.isRegistered()
+        && services.configuration().current().isPresent();
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/NodeServices.java
@@ -52,6 +52,9 @@
 
   long tokensHeld();
 
+  /** Tells whether the incarnation is registered, without which it can't reserve tokens. */
+  boolean isRegistered();
+
   void start();
 
   /** Writes what is buffered: bills, outcomes of claims, counters. */
