Rank members only for incarnations whose host is terminated

Cause: each recovery round ranked all members for each live incarnation, seen in thread dumps of a simulation of 413 daemons. Change: the test of the host list comes first; the result is the same. Conclusion: RecoveryServiceTest passes; the saving is not measured.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -233,8 +233,9 @@
                   listing.map(RecoveryService::terminatedHosts).orElse(Set.of());
               List<String> dead =
                   registry.in(IncarnationState.LIVE).stream()
-                      .filter(id -> !id.equals(self()) && isResponsible(registry, id))
+                      .filter(id -> !id.equals(self()))
                       .filter(id -> DeathProof.isTerminated(registry.rows().get(id), terminated))
+                      .filter(id -> isResponsible(registry, id))
                       .toList();
               return FutureCallbacks.inOrder(dead, id -> markDead(registry, id, PLATFORM_PROOF));
             });
