--- a/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/peer/GrpcPeerServer.java
@@ -7,6 +7,7 @@
 import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup;
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
 import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.lang.System.Logger;
@@ -208,6 +209,9 @@
     @Override
     public void fetchConfiguration(
         FetchConfigurationRequest r, StreamObserver<FetchConfigurationResponse> o) {
+      // At 880 upstreams and 970 client accounts a body has about 350 KB, and there are 2,300
+      // changes a day; uncompressed they would take most of the 11 KB/s of a daemon.
+      ((ServerCallStreamObserver<FetchConfigurationResponse>) o).setCompression("gzip");
       dispatch(o, h -> h.fetchConfiguration(r));
     }
 
