--- a/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/CpuSlopes.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/CpuSlopes.java
@@ -91,6 +91,7 @@
             events,
             () -> 1L,
             bill -> CompletableFuture.completedFuture(true),
+            () -> {},
             2 * n);
     billing.start();
     long start = Clocks.cpuNanos();
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/FleetSlopes.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/FleetSlopes.java
@@ -45,7 +45,7 @@
     int engines = (int) Math.round(perDomain * ENGINES_PER_DAEMON);
     List<Topology.Budget> budgets =
         List.of(new Topology.Budget("main", "account", 1_000_000, Lean.BALANCED));
-    Topology t = new Topology("site", domains, perDomain, engines, budgets);
+    Topology t = Topology.uniform("site", domains, perDomain, engines, budgets);
     CallCounts counts = new CallCounts();
     Simulation s =
         new Simulation(
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/MemorySlopes.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/MemorySlopes.java
@@ -118,6 +118,7 @@
             events,
             () -> 1L,
             bill -> CompletableFuture.completedFuture(true),
+            () -> {},
             2 * n);
     for (int i = 0; i < n; i++) {
       Bill b = bill(i);
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/RequestSlopes.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/RequestSlopes.java
@@ -115,7 +115,7 @@
           new Arrival(
               at, "request-" + i, b.account(), b.name(), domain, kind, "prompt " + i, PIECES, 1));
     }
-    Topology t = new Topology("site", DOMAINS, DAEMONS_PER_DOMAIN, ENGINES_PER_DOMAIN, all);
+    Topology t = Topology.uniform("site", DOMAINS, DAEMONS_PER_DOMAIN, ENGINES_PER_DOMAIN, all);
     CallCounts counts = new CallCounts();
     Simulation s =
         new Simulation(
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/Slope.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/slopes/Slope.java
@@ -17,8 +17,10 @@
 
   /** Head of the table that {@link #toRow()} belongs to. */
   public static final String HEAD =
-      "| quantity | unit | per | slope | intercept | R2 | points |\n"
-          + "|---|---|---|---|---|---|---|\n";
+      """
+      | quantity | unit | per | slope | intercept | R2 | points |
+      |---|---|---|---|---|---|---|
+      """;
 
   /** Copies the list. */
   public Slope {
