--- a/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/FaultSteps.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/FaultSteps.java
@@ -115,4 +115,10 @@
   public void crash(String engine, int at) {
     script.addFault(Fault.Kind.ENGINE_CRASH, engine, "", at, 0, 0);
   }
+
+  /** Publishes the configuration as the next version. */
+  @When("the configuration is published again at {int} s")
+  public void publish(int at) {
+    script.addFault(Fault.Kind.PUBLISH, "", "", at, 0, 0);
+  }
 }
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/OutcomeSteps.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/OutcomeSteps.java
@@ -101,6 +101,18 @@
         .isEmpty();
   }
 
+  /** Checks that a version is in force in time. */
+  @Then("version {int} is in force at every running daemon at {int} s")
+  public void inForce(int version, int seconds) {
+    script.runTo(seconds);
+    List<Long> versions =
+        script.simulation().daemons().values().stream()
+            .filter(d -> d.scope().isRunning())
+            .map(d -> d.node().configuration().current().map(c -> c.version()).orElse(0L))
+            .toList();
+    assertThat(versions).isNotEmpty().containsOnly((long) version);
+  }
+
   private Set<String> servedKeys() {
     return script.result().seen().attempts().stream()
         .filter(a -> a.outcome() instanceof Outcome.Whole)
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/Script.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/scenario/Script.java
@@ -28,6 +28,7 @@
   private int engines = 2;
   private Simulation simulation;
   private RunResult result;
+  private boolean started;
 
   void setShape(List<String> names, int hostsPerDomain, int enginesPerDomain) {
     domains = names;
@@ -88,9 +89,25 @@
     return simulation;
   }
 
+  /** Runs the scenario up to a time and leaves it there. */
+  void runTo(int seconds) {
+    start();
+    simulation().advanceTo(seconds * MILLIS_PER_SECOND);
+  }
+
+  private void start() {
+    if (!started) {
+      started = true;
+      simulation().start();
+    }
+  }
+
   RunResult result() {
     if (result == null) {
-      result = simulation().run();
+      start();
+      simulation().advanceTo(simulation().trace().end());
+      simulation().settle();
+      result = simulation().result();
     }
     return result;
   }
