Recover a dead daemon by its successor on the host, and do not wait for its reservations at a stop

Cause: on a quiet machine the demonstration failed: the daemon chosen by rendezvous learned of the death up to 40 s later than the successor, and a graceful stop waited 20 s for reservations of the dead server. Change: a live successor on the same host recovers; a stopping daemon first closes the reservations of ended servers.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/node/PlatformServices.java
@@ -198,7 +198,7 @@
 
   @Override
   public CompletableFuture<Void> returnAllotments() {
-    return budgets.stop();
+    return recovery.closeEndedServers().thenCompose(done -> budgets.stop());
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -179,6 +179,19 @@
         .thenAccept(isWritten -> events.record("incarnation_stopped", "closed=" + isWritten));
   }
 
+  /**
+   * Closes the reservations that ended servers left open here, so that a graceful stop does not
+   * wait for them.
+   *
+   * @return completes when those are closed whose outcome the platform knows
+   */
+  public CompletableFuture<Void> closeEndedServers() {
+    return TableReads.scanAll(table, Registry.PREFIX)
+        .thenCompose(
+            rows ->
+                rows.map(r -> closer.closeAll(Registry.of(r))).orElseGet(RecoveryService::nothing));
+  }
+
   private void round() {
     if (!isStopped) {
       FutureCallbacks.onEnd(
@@ -276,8 +289,18 @@
     return table.transact(List.of(m)).thenApply(r -> r instanceof WriteResult.Committed);
   }
 
-  /** One daemon of the incarnation's domain does the work, or one of each if none is left. */
+  /**
+   * The successor on the same host does the work, since it learns of the death first; else one
+   * daemon of the incarnation's domain, or one of each domain if none is left.
+   */
   private boolean isResponsible(Registry registry, String id) {
+    String host = registry.rows().get(id).host();
+    boolean hasSuccessor =
+        registry.in(IncarnationState.LIVE).stream()
+            .anyMatch(live -> registry.rows().get(live).host().equals(host));
+    if (hasSuccessor && host.equals(registration.row().host())) {
+      return true;
+    }
     List<MemberInfo> ranked = membership.rank(registry.rows().get(id).failureDomain(), id);
     if (ranked.isEmpty()) {
       ranked = membership.rank(membership.self().failureDomain(), id);
