--- a/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/budget/AllotmentService.java
@@ -25,7 +25,6 @@
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.core.budget.BudgetRow;
 import org.hibiscusreel.core.budget.HandOverEntry;
-import org.hibiscusreel.core.budget.OpenReservationEntry;
 import org.hibiscusreel.core.budget.Reservation;
 import org.hibiscusreel.core.request.RequestKey;
 import org.hibiscusreel.wire.HandOverRequest;
@@ -43,15 +42,6 @@
  */
 public final class AllotmentService implements BudgetReservations {
 
-  /**
-   * An open reservation that this daemon holds.
-   *
-   * @param account client account of the request, empty if not known
-   * @param budget budget that is charged
-   * @param entry the reservation
-   */
-  public record HeldReservation(String account, String budget, OpenReservationEntry entry) {}
-
   private static final int RANKS = 3;
   private static final long RESPONSE_SLACK_MILLIS = 100;
   private static final long MAINTENANCE_INTERVAL_MILLIS = 30_000;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/EndedServerCloser.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/EndedServerCloser.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.budget.AllotmentService;
-import org.hibiscusreel.coordination.budget.AllotmentService.HeldReservation;
+import org.hibiscusreel.coordination.budget.HeldReservation;
 import org.hibiscusreel.coordination.platform.FutureCallbacks;
 import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.platform.TableKeys;
