Start the next recovery round soon after a proven death

Change: a round that proved a death is followed by another after 1 s, which sets the time of the collection. Conclusion: the time to recover no longer depends on the phase of the rounds.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/recovery/RecoveryService.java
@@ -94,6 +94,9 @@
   /** Time until the usage of a dead incarnation is due, so that no whole round is waited for. */
   private long nextCollectionMillis = Long.MAX_VALUE;
 
+  /** A death proven in a round is seen as such by the next one, which therefore comes soon. */
+  private boolean hasNewDeath;
+
   private boolean isStopped;
 
   /**
@@ -204,7 +207,9 @@
   private void scheduleRound() {
     long jitter = Math.floorMod(random.getAsLong(), ROUND_INTERVAL_MILLIS / 2);
     long regular = ROUND_INTERVAL_MILLIS / 2 + jitter;
-    long delay = Math.max(MIN_ROUND_INTERVAL_MILLIS, Math.min(regular, nextCollectionMillis));
+    long wanted = hasNewDeath ? 0 : nextCollectionMillis;
+    hasNewDeath = false;
+    long delay = Math.max(MIN_ROUND_INTERVAL_MILLIS, Math.min(regular, wanted));
     timer = scheduler.schedule(delay, this::round);
   }
 
@@ -277,6 +282,7 @@
         .thenAccept(
             isMarked -> {
               if (isMarked) {
+                hasNewDeath = true;
                 events.record("death_proven", "incarnation=" + id + " proof=" + proof);
               }
             });
