Forward requests on the users' platform through an adapter

The flow of opaque requests, prepaid tokens drawn per account, the fleet follower and the HTTP sides are the product's own; the module platform translates settings, rows, headers and refusals.

--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -0,0 +1,252 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.forward.AccountTerms;
+import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.Placement;
+import org.hibiscusreel.core.forward.PromptShape;
+import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamLoad;
+import org.hibiscusreel.core.retry.RetryBudget;
+
+/** Serves the requests of callers. Used only on the thread of the event loop. */
+public final class Forwarder {
+
+  /** A caller that is refused while nothing is configured may come back after this time. */
+  static final long UNCONFIGURED_RETRY_MILLIS = 500;
+
+  /**
+   * Part of the fleet's retries that daemons use; the rest covers a daemon that is not counted yet.
+   */
+  private static final double RETRY_SAFETY = 0.7;
+
+  private final Scheduler scheduler;
+  private final FleetView fleet;
+  private final UpstreamTransport transport;
+  private final PrepaidBudgets budgets;
+  private final ForwardSettings settings;
+  private final DecisionLog log;
+  private final LongSupplier random;
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final Set<ForwardTask> running = new HashSet<>();
+  private long refused;
+  private long served;
+
+  /**
+   * Creates a forwarder.
+   *
+   * @param scheduler time and delayed tasks
+   * @param fleet what is believed of configuration and upstreams
+   * @param transport sends requests to upstreams
+   * @param budgets prepaid tokens
+   * @param settings settings
+   * @param log receives a line for each request
+   * @param random source of random bits
+   * @throws NullPointerException if an argument is null
+   */
+  public Forwarder(
+      Scheduler scheduler,
+      FleetView fleet,
+      UpstreamTransport transport,
+      PrepaidBudgets budgets,
+      ForwardSettings settings,
+      DecisionLog log,
+      LongSupplier random) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.fleet = Objects.requireNonNull(fleet, "fleet");
+    this.transport = Objects.requireNonNull(transport, "transport");
+    this.budgets = Objects.requireNonNull(budgets, "budgets");
+    this.settings = Objects.requireNonNull(settings, "settings");
+    this.log = Objects.requireNonNull(log, "log");
+    this.random = Objects.requireNonNull(random, "random");
+  }
+
+  /** A request in progress, as its caller's connection sees it. */
+  public interface Handle {
+
+    /** The caller went away; nothing can be answered any more. */
+    void onCallerGone();
+
+    /** The caller took what was written, so that the upstream may go on. */
+    void onWritable();
+  }
+
+  /**
+   * Serves a request.
+   *
+   * @param request the request
+   * @param exchange answers the caller
+   * @return the request in progress
+   */
+  public Handle serve(CallerRequest request, CallerExchange exchange) {
+    Optional<ForwardingTable> table = fleet.table();
+    Optional<Refusal> refusal = table.isEmpty() ? Optional.of(notConfigured()) : Optional.empty();
+    Optional<Route> route = table.flatMap(t -> t.route(request.host(), request.path()));
+    Optional<AccountTerms> account = table.flatMap(t -> request.key().flatMap(t::account));
+    if (refusal.isEmpty()) {
+      refusal = check(table.get(), route, account);
+    }
+    if (refusal.isPresent()) {
+      refuse(request, exchange, refusal.get(), table);
+      return NO_TASK;
+    }
+    ForwardTask task = new ForwardTask(this, table.get(), route.get(), account, request, exchange);
+    running.add(task);
+    task.start();
+    return task;
+  }
+
+  private static final Handle NO_TASK =
+      new Handle() {
+        @Override
+        public void onCallerGone() {}
+
+        @Override
+        public void onWritable() {}
+      };
+
+  private static Refusal notConfigured() {
+    return new Refusal(
+        Refusal.Kind.NOT_CONFIGURED, UNCONFIGURED_RETRY_MILLIS, "no configuration is known yet");
+  }
+
+  private static Optional<Refusal> check(
+      ForwardingTable table, Optional<Route> route, Optional<AccountTerms> account) {
+    if (route.isEmpty()) {
+      return Optional.of(new Refusal(Refusal.Kind.NO_ROUTE, 0, "no route matches"));
+    }
+    if (table.needsKeys() && !route.get().open() && account.isEmpty()) {
+      return Optional.of(new Refusal(Refusal.Kind.UNKNOWN_KEY, 0, "the key is unknown"));
+    }
+    return Optional.empty();
+  }
+
+  private void refuse(
+      CallerRequest request,
+      CallerExchange exchange,
+      Refusal refusal,
+      Optional<ForwardingTable> table) {
+    refused++;
+    log.record(
+        "request",
+        Map.of(
+            "id",
+            request.id(),
+            "host",
+            request.host(),
+            "path",
+            request.path(),
+            "version",
+            table.map(ForwardingTable::version).orElse(0L),
+            "outcome",
+            refusal.kind().name(),
+            "reason",
+            refusal.detail()));
+    exchange.refuse(refusal);
+  }
+
+  /**
+   * Returns the number of requests in progress.
+   *
+   * @return 0 or more
+   */
+  public int inProgress() {
+    return running.size();
+  }
+
+  /**
+   * Returns the number of requests that got a complete answer of an upstream.
+   *
+   * @return 0 or more
+   */
+  public long served() {
+    return served;
+  }
+
+  /**
+   * Returns the number of requests that got an answer of the daemon's own.
+   *
+   * @return 0 or more
+   */
+  public long refused() {
+    return refused;
+  }
+
+  /**
+   * Forgets upstreams that are gone.
+   *
+   * @param ids identities of the upstreams
+   */
+  public void onUpstreamsGone(Iterable<String> ids) {
+    ids.forEach(loads::remove);
+  }
+
+  Optional<UpstreamEntry> choose(String service, Optional<PromptShape> prompt, Set<String> tried) {
+    long now = scheduler.nowMillis();
+    List<Placement.Candidate> candidates = new ArrayList<>();
+    for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
+      if (!tried.contains(e.id())) {
+        candidates.add(new Placement.Candidate(e, load(e.id())));
+      }
+    }
+    return Placement.choose(candidates, prompt, settings.failureDomain(), now, random)
+        .map(Placement.Candidate::entry);
+  }
+
+  UpstreamLoad load(String upstream) {
+    return loads.computeIfAbsent(upstream, u -> new UpstreamLoad());
+  }
+
+  RetryBudget retryBudget(String service) {
+    return retryBudgets.computeIfAbsent(service, s -> newRetryBudget());
+  }
+
+  private RetryBudget newRetryBudget() {
+    double share = RETRY_SAFETY * settings.retrySlack() / fleet.daemons();
+    return new RetryBudget(RETRY_SAFETY * settings.retryRatio(), Math.max(1, share));
+  }
+
+  void onEnded(ForwardTask task, boolean wasServed) {
+    running.remove(task);
+    if (wasServed) {
+      served++;
+    } else {
+      refused++;
+    }
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  FleetView fleet() {
+    return fleet;
+  }
+
+  UpstreamTransport transport() {
+    return transport;
+  }
+
+  PrepaidBudgets budgets() {
+    return budgets;
+  }
+
+  DecisionLog log() {
+    return log;
+  }
+
+  LongSupplier random() {
+    return random;
+  }
+}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
@@ -14,6 +14,7 @@
 import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.request.RequestService;
+import org.hibiscusreel.daemon.http.CallerConnections;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
 
@@ -58,7 +59,7 @@
       ConfigurationView configuration,
       DaemonMetrics metrics) {
     Objects.requireNonNull(requests, "requests");
-    this.connections = new CallerConnections(scheduler);
+    this.connections = new CallerConnections(scheduler, reactor);
     this.isTls = tls.isPresent();
     CallerServlet servlet =
         new CallerServlet(
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
@@ -31,6 +31,7 @@
 import org.hibiscusreel.core.request.ProblemCode;
 import org.hibiscusreel.core.request.Ran;
 import org.hibiscusreel.core.request.RequestKey;
+import org.hibiscusreel.daemon.http.CallerConnections;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/StreamedAnswer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/StreamedAnswer.java
@@ -12,6 +12,7 @@
 import org.hibiscusreel.coordination.request.AnswerEnd;
 import org.hibiscusreel.coordination.request.ModelCall;
 import org.hibiscusreel.core.request.Problem;
+import org.hibiscusreel.daemon.http.CallerConnections;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 
 /**
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/BodyPump.java
@@ -0,0 +1,111 @@
+package org.hibiscusreel.daemon.forward;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSupplier;
+import org.hibiscusreel.coordination.forward.UpstreamTransport;
+import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.daemon.http.HttpCalls;
+
+/** Reads the body of an upstream's answer piece by piece. */
+final class BodyPump implements UpstreamTransport.Exchange {
+
+  /** Receives the pieces and one ending. */
+  interface Sink {
+
+    void onBytes(byte[] bytes);
+
+    void onEnd();
+
+    void onFailure(AttemptOutcome outcome, String reason);
+  }
+
+  private final HttpCalls.Exchange exchange;
+  private final Sink sink;
+  private ChannelSupplier<ByteBuf> body;
+  private boolean paused;
+  private boolean reading;
+  private boolean ended;
+
+  BodyPump(HttpCalls.Exchange exchange, Sink sink) {
+    this.exchange = exchange;
+    this.sink = sink;
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  void start(ChannelSupplier<ByteBuf> source) {
+    body = source;
+    read();
+  }
+
+  void fail(AttemptOutcome outcome, String reason) {
+    if (!ended) {
+      close();
+      sink.onFailure(outcome, reason);
+    }
+  }
+
+  @Override
+  public void pause() {
+    paused = true;
+  }
+
+  @Override
+  public void proceed() {
+    paused = false;
+    read();
+  }
+
+  @Override
+  public void cancel() {
+    if (!ended) {
+      close();
+    }
+  }
+
+  /** Reads as long as buffers are there; only one read is outstanding at a time. */
+  private void read() {
+    if (reading || body == null) {
+      return;
+    }
+    while (!paused && !ended) {
+      var next = body.get();
+      if (!next.isComplete()) {
+        reading = true;
+        next.whenComplete(
+            (buf, e) -> {
+              reading = false;
+              onRead(buf, e);
+              read();
+            });
+        return;
+      }
+      onRead(next.isResult() ? next.getResult() : null, next.getException());
+    }
+  }
+
+  private void onRead(ByteBuf buf, Exception e) {
+    if (ended) {
+      if (buf != null) {
+        buf.recycle();
+      }
+    } else if (e != null) {
+      fail(AttemptOutcome.BROKEN, String.valueOf(e));
+    } else if (buf == null) {
+      close();
+      sink.onEnd();
+    } else {
+      sink.onBytes(buf.asArray());
+    }
+  }
+
+  private void close() {
+    ended = true;
+    if (body != null) {
+      body.close();
+    }
+    exchange.abort();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -0,0 +1,138 @@
+package org.hibiscusreel.daemon.forward;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.promise.Promise;
+import io.activej.reactor.net.ServerSocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+import org.hibiscusreel.coordination.forward.CallerRequest;
+import org.hibiscusreel.coordination.forward.Forwarder;
+import org.hibiscusreel.coordination.forward.Refusal;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.daemon.http.CallerConnections;
+
+/** HTTP server for callers whose requests are forwarded. Used only on the event loop. */
+public final class ForwardServer {
+
+  /** Longer than any idle timeout that an operator sets, so that callers close first. */
+  private static final Duration KEEP_ALIVE = Duration.ofMinutes(2);
+
+  private static final int BACKLOG = 1024;
+
+  /** Largest body that is read before a configuration gives its own limit, in bytes. */
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+  private final Forwarder forwarder;
+  private final CallerDialect dialect;
+  private final CallerConnections connections;
+  private final HttpServer server;
+  private boolean stopping;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param reactor the event loop
+   * @param scheduler time and delayed tasks of the same event loop
+   * @param address where to listen
+   * @param forwarder serves the requests
+   * @param dialect how callers spell requests
+   * @throws NullPointerException if an argument is null
+   */
+  public ForwardServer(
+      NioReactor reactor,
+      Scheduler scheduler,
+      InetSocketAddress address,
+      Forwarder forwarder,
+      CallerDialect dialect) {
+    this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
+    this.dialect = Objects.requireNonNull(dialect, "dialect");
+    this.connections = new CallerConnections(scheduler, reactor);
+    AsyncServlet servlet = this::serve;
+    this.server =
+        HttpServer.builder(reactor, servlet)
+            .withKeepAliveTimeout(KEEP_ALIVE)
+            .withInspector(connections.serverInspector())
+            .withSocketInspector(connections.socketInspector(false))
+            .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
+            .withListenAddress(address)
+            .build();
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public void start() throws IOException {
+    server.listen();
+    connections.start();
+  }
+
+  /** Asks callers to use other connections from now on, and goes on serving. */
+  public void announceStop() {
+    stopping = true;
+  }
+
+  /**
+   * Stops listening and closes the connections after their answers are sent.
+   *
+   * @return completes when all connections are closed
+   */
+  public Promise<?> stop() {
+    stopping = true;
+    connections.stop();
+    return server.close();
+  }
+
+  /**
+   * Returns the number of open connections.
+   *
+   * @return 0 or more
+   */
+  public int connectionCount() {
+    return connections.count();
+  }
+
+  private Promise<HttpResponse> serve(HttpRequest request) {
+    CallerConnections.Entry connection = connections.entry(request);
+    CallerAnswer answer = new CallerAnswer(dialect, connection, () -> stopping);
+    if (isAmbiguous(request)) {
+      answer.refuse(new Refusal(Refusal.Kind.MALFORMED, 0, "two lengths of the body"));
+      connection.closeSoon();
+      return answer.response();
+    }
+    return request
+        .loadBody(MAX_BODY_BYTES)
+        .then(
+            body -> {
+              CallerRequest r = read(request, body.getArray());
+              answer.attach(forwarder.serve(r, answer));
+              return answer.response();
+            });
+  }
+
+  /** A body with two lengths could hide a second request from one of the readers. */
+  private static boolean isAmbiguous(HttpRequest request) {
+    return request.hasHeader(HttpHeaders.CONTENT_LENGTH)
+        && request.hasHeader(HttpHeaders.TRANSFER_ENCODING);
+  }
+
+  private CallerRequest read(HttpRequest request, byte[] body) {
+    String host = request.getHeader(HttpHeaders.HOST);
+    return dialect.read(
+        new CallerDialect.Received(
+            request.getMethod().name(),
+            request.getPathAndQuery(),
+            request.getPath(),
+            host == null ? "" : host,
+            HeaderFields.endToEnd(request),
+            body));
+  }
+}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -1,7 +1,8 @@
-package org.hibiscusreel.daemon.caller;
+package org.hibiscusreel.daemon.http;
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.common.inspector.AbstractInspector;
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
@@ -13,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Objects;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
 
@@ -21,7 +23,7 @@
  * answer, and notices callers that go away. ActiveJ's own read and write timeout can't be used,
  * since it also ends answers that are streamed for longer.
  */
-final class CallerConnections {
+public final class CallerConnections {
 
   /** Longest time from the first byte of a request to the end of its headers. */
   static final long HEADER_TIMEOUT_MILLIS = 10_000;
@@ -30,23 +32,32 @@
   static final long FIRST_BYTE_TIMEOUT_MILLIS = 60_000;
 
   /** Longest time that a caller may read nothing while an answer waits for it. */
-  static final long WRITE_TIMEOUT_MILLIS = 30_000;
+  public static final long WRITE_TIMEOUT_MILLIS = 30_000;
 
   private static final long CLOSE_DELAY_MILLIS = 1000;
   private static final long CHECK_INTERVAL_MILLIS = 1000;
 
   private final Scheduler scheduler;
+  private final CurrentTimeProvider loopTime;
   private final IdentityHashMap<HttpServerConnection, Entry> entries = new IdentityHashMap<>();
   private Cancellable timer;
   private TcpSocket newest;
   private boolean isNewestTls;
 
-  CallerConnections(Scheduler scheduler) {
-    this.scheduler = scheduler;
+  /**
+   * Creates a follower without connections.
+   *
+   * @param scheduler time and delayed tasks of the event loop
+   * @param loopTime time of the event loop, with which ActiveJ stamps its connections
+   * @throws NullPointerException if an argument is null
+   */
+  public CallerConnections(Scheduler scheduler, CurrentTimeProvider loopTime) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
   }
 
   /** One connection. */
-  final class Entry {
+  public final class Entry {
 
     private final TcpSocket socket;
     private final boolean isTls;
@@ -64,20 +75,22 @@
     }
 
     /** Closes the connection. */
-    void close() {
+    public void close() {
       socket.close();
     }
 
     /** Closes the connection when the answer had time to leave, although the body did not come. */
-    void closeSoon() {
+    public void closeSoon() {
       scheduler.schedule(CLOSE_DELAY_MILLIS, this::close);
     }
 
     /**
      * Calls a task once if the caller goes away before its answer is sent. Must be called after the
      * body of the request was read.
+     *
+     * @param task the task
      */
-    void watch(Runnable task) {
+    public void watch(Runnable task) {
       onGone = task;
       if (!isTls && !socket.isClosed()) {
         watchSocket();
@@ -85,7 +98,7 @@
     }
 
     /** Marks that the answer is a stream, which ends stalled writes itself. */
-    void markStreamed() {
+    public void markStreamed() {
       isStreamed = true;
       isResponding = false;
     }
@@ -128,35 +141,59 @@
       }
       if (pool == PoolLabel.READ_WRITE && onGone == null) {
         long since = connection.getPoolTimestamp().toMillis();
-        return scheduler.wallMillis() - since > HEADER_TIMEOUT_MILLIS;
+        return loopTime.currentTimeMillis() - since > HEADER_TIMEOUT_MILLIS;
       }
       return false;
     }
   }
 
-  Entry entry(HttpRequest request) {
+  /**
+   * Returns the connection of a request.
+   *
+   * @param request a request in progress
+   * @return its connection
+   */
+  public Entry entry(HttpRequest request) {
     return entries.get(request.getConnection());
   }
 
-  int count() {
+  /**
+   * Returns the number of open connections.
+   *
+   * @return 0 or more
+   */
+  public int count() {
     return entries.size();
   }
 
-  void start() {
+  /** Starts to look for callers that are too slow. */
+  public void start() {
     timer = scheduler.schedule(CHECK_INTERVAL_MILLIS, this::closeExpired);
   }
 
-  void stop() {
+  /** Stops looking. */
+  public void stop() {
     if (timer != null) {
       timer.cancel();
     }
   }
 
-  HttpServer.Inspector serverInspector() {
+  /**
+   * Returns what the server must report to.
+   *
+   * @return inspector of the HTTP server
+   */
+  public HttpServer.Inspector serverInspector() {
     return new ServerInspector();
   }
 
-  TcpSocket.Inspector socketInspector(boolean isTls) {
+  /**
+   * Returns what the sockets of the server must report to.
+   *
+   * @param isTls whether the sockets carry TLS
+   * @return inspector of the sockets
+   */
+  public TcpSocket.Inspector socketInspector(boolean isTls) {
     return new SocketInspector(isTls);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpCalls.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -54,10 +55,22 @@
    * @throws NullPointerException if the event loop is null
    */
   public HttpCalls(NioReactor reactor, boolean reuseConnections) {
+    this(reactor, reuseConnections, CONNECT_TIMEOUT);
+  }
+
+  /**
+   * Creates a client with its own connect timeout.
+   *
+   * @param reactor the event loop
+   * @param reuseConnections whether connections are kept for further calls
+   * @param connectTimeout longest time to open a connection
+   * @throws NullPointerException if an argument is null
+   */
+  public HttpCalls(NioReactor reactor, boolean reuseConnections, Duration connectTimeout) {
     this.reactor = Objects.requireNonNull(reactor, "reactor");
     HttpClient.Builder b =
         HttpClient.builder(reactor, newDnsClient(reactor))
-            .withConnectTimeout(CONNECT_TIMEOUT)
+            .withConnectTimeout(connectTimeout)
             .withMaxBodySize(MAX_ANSWER)
             .withReadWriteTimeout(reuseConnections ? SHARED_TIMEOUT : Duration.ZERO)
             // ActiveJ 6.0-rc2 confuses the two inspectors of a client, so both are set.
@@ -118,8 +131,22 @@
    */
   public Exchange open(
       HttpMethod method, String url, Map<HttpHeader, String> headers, byte[] body) {
+    return open(method, url, List.copyOf(headers.entrySet()), body);
+  }
+
+  /**
+   * Sends a request whose header fields may repeat and whose answer is read as a stream.
+   *
+   * @param method HTTP method
+   * @param url URL with an IP number as its host
+   * @param headers headers to send, in order
+   * @param body body to send, or null for none
+   * @return the request and its response
+   */
+  public Exchange open(
+      HttpMethod method, String url, List<Map.Entry<HttpHeader, String>> headers, byte[] body) {
     HttpRequest.Builder b = HttpRequest.builder(method, url);
-    headers.forEach(b::withHeader);
+    headers.forEach(h -> b.withHeader(h.getKey(), h.getValue()));
     if (body != null) {
       b.withBody(ByteBuf.wrapForReading(body));
     }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/Incarnations.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/Incarnations.java
@@ -9,7 +9,7 @@
 import java.util.HexFormat;
 
 /** Identifies one run of the process. */
-final class Incarnations {
+public final class Incarnations {
 
   private static final Logger LOG = System.getLogger(Incarnations.class.getName());
   private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
@@ -17,8 +17,14 @@
 
   private Incarnations() {}
 
-  /** Returns a new identifier: host, start time and a random suffix. */
-  static String create(String host, long wallMillis) {
+  /**
+   * Returns a new identifier: host, start time and a random suffix.
+   *
+   * @param host name of the host
+   * @param wallMillis time of day in milliseconds since the epoch
+   * @return the identifier
+   */
+  public static String create(String host, long wallMillis) {
     byte[] suffix = new byte[SUFFIX_BYTES];
     new SecureRandom().nextBytes(suffix);
     return host + "-" + wallMillis + "-" + HexFormat.of().formatHex(suffix);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/LogSetup.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/LogSetup.java
@@ -11,12 +11,17 @@
 import org.slf4j.LoggerFactory;
 
 /** Writes log lines as JSON to the standard output. */
-final class LogSetup {
+public final class LogSetup {
 
   private LogSetup() {}
 
-  /** Replaces the log configuration; {@code incarnation} is a field of each line. */
-  static void apply(DaemonSettings.Level level, String incarnation) {
+  /**
+   * Replaces the log configuration.
+   *
+   * @param level least level that is written
+   * @param incarnation this run of the daemon, a field of each line
+   */
+  public static void apply(DaemonSettings.Level level, String incarnation) {
     ILoggerFactory factory = LoggerFactory.getILoggerFactory();
     if (!(factory instanceof LoggerContext context)) {
       throw new IllegalStateException("Logback is not the log backend");
