Hold twelve seconds of demand per account ahead of outages

Change: an allotment holds twelve seconds of demand and two large requests, bounded by its share of half the undrawn tokens; Retry-After is 1.5 s while the store is away.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -23,6 +23,9 @@
   /** The draw of tokens takes a few milliseconds; a caller waits no longer than this for it. */
   static final long RESERVE_TIMEOUT_MILLIS = 1_500;
 
+  /** Advice when no tokens can be drawn; the store's outages last some seconds. */
+  static final long STORE_RETRY_AFTER_MILLIS = 1_500;
+
   /** Advice to a caller whose request did not run, when nothing better is known. */
   static final long RETRY_AFTER_MILLIS = 300;
 
@@ -105,7 +108,8 @@
     } else if (outcome instanceof PrepaidBudgets.Outcome.Exhausted) {
       refuse(Refusal.Kind.BUDGET_EXHAUSTED, 0, "the prepaid tokens do not cover the request");
     } else if (outcome instanceof PrepaidBudgets.Outcome.Unavailable u) {
-      refuse(Refusal.Kind.NOT_RUN, RETRY_AFTER_MILLIS, "no tokens can be drawn: " + u.reason());
+      refuse(
+          Refusal.Kind.NOT_RUN, STORE_RETRY_AFTER_MILLIS, "no tokens can be drawn: " + u.reason());
     }
   }
 
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -7,16 +7,26 @@
  */
 public final class AccountAllotment {
 
-  /** Demand that is held ahead, so that a short outage of the platform's store goes unnoticed. */
-  public static final long HOLD_AHEAD_MILLIS = 6_000;
+  /**
+   * Demand that is held ahead. Outages of the platform's store last up to nine seconds on the sites
+   * of today, and demand comes in lumps.
+   */
+  public static final long HOLD_AHEAD_MILLIS = 12_000;
+
+  /** Largest recent requests that are held ahead at least. */
+  public static final int HOLD_REQUESTS = 2;
 
   /**
    * All daemons together hold at most one in this many of the undrawn tokens ahead, so that a
    * budget that nears its end is not scattered over daemons that don't need it.
    */
-  public static final int SCATTER_DIVISOR = 4;
+  public static final int SCATTER_DIVISOR = 2;
+
+  /** The largest request is forgotten by one part in so many with each smaller one. */
+  private static final int LARGEST_DECAY = 16;
 
   private final DemandForecast forecast;
+  private long largest;
   private long drawn;
   private long pending; // never positive
   private long spent;
@@ -44,6 +54,7 @@
       return false;
     }
     reserved += tokens;
+    largest = Math.max(tokens, largest - largest / LARGEST_DECAY);
     forecast.add(tokens, nowMillis);
     return true;
   }
@@ -89,7 +100,10 @@
       return -Math.max(0, free());
     }
     int holders = SCATTER_DIVISOR * Math.max(1, daemons);
-    long ahead = (long) (forecast.tokensPerMilli(nowMillis) * HOLD_AHEAD_MILLIS);
+    long ahead =
+        Math.max(
+            HOLD_REQUESTS * largest,
+            (long) (forecast.tokensPerMilli(nowMillis) * HOLD_AHEAD_MILLIS));
     long target = Math.min(ahead, undrawn / holders);
     long needed = waiting - free();
     if (needed > 0 || AllotmentSizing.isLow(target, free())) {
