Let streams outlast three seconds of a planned stop

Cause: ActiveJ's HTTP server ends answers that are written for three seconds once a stop began; the time of the cut was the same with SIGTERM at another moment, which rules out the daemon's own timers. Change: that timeout is an hour for both callers' servers; the process that stops bounds the stop.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -181,18 +181,15 @@
    */
   private void readRows() {
     busy = true;
-    var unused =
-        table
-            .read(List.of(totalKey))
-            .thenAccept(
-                total -> {
-                  if (total instanceof ReadResult.Rows t) {
-                    var second =
-                        table.read(List.of(holderKey)).thenAccept(h -> onRead(t.rows(), h));
-                  } else {
-                    onRead(List.of(), total);
-                  }
-                });
+    var unused = table.read(List.of(totalKey)).thenAccept(this::onTotalRead);
+  }
+
+  private void onTotalRead(ReadResult total) {
+    if (total instanceof ReadResult.Rows t) {
+      var unused = table.read(List.of(holderKey)).thenAccept(h -> onRead(t.rows(), h));
+    } else {
+      onRead(List.of(), total);
+    }
   }
 
   private void onRead(List<Row> total, ReadResult holder) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
@@ -24,6 +24,9 @@
   /** An idle connection of a caller is kept for reuse this long. */
   private static final Duration KEEP_ALIVE = Duration.ofMinutes(2);
 
+  /** Bounds a stop; the process that stops has its own, shorter time for it. */
+  private static final Duration STOP_TIMEOUT = Duration.ofHours(1);
+
   private static final int BACKLOG = 4096;
 
   private final HttpServer server;
@@ -73,6 +76,8 @@
     HttpServer.Builder b =
         HttpServer.builder(reactor, servlet.toServlet(reactor))
             .withKeepAliveTimeout(KEEP_ALIVE)
+            // The default ends streamed answers three seconds after a stop begins.
+            .withReadWriteTimeout(Duration.ZERO, STOP_TIMEOUT)
             .withHttpErrorFormatter(servlet::formatException)
             .withInspector(connections.serverInspector())
             .withSocketInspector(connections.socketInspector(false))
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -24,6 +24,9 @@
   /** Longer than any idle timeout that an operator sets, so that callers close first. */
   private static final Duration KEEP_ALIVE = Duration.ofMinutes(2);
 
+  /** Bounds a stop; the process that stops has its own, shorter time for it. */
+  private static final Duration STOP_TIMEOUT = Duration.ofHours(1);
+
   private static final int BACKLOG = 1024;
 
   /** Largest body that is read before a configuration gives its own limit, in bytes. */
@@ -58,6 +61,8 @@
     this.server =
         HttpServer.builder(reactor, servlet)
             .withKeepAliveTimeout(KEEP_ALIVE)
+            // The default ends streamed answers three seconds after a stop begins.
+            .withReadWriteTimeout(Duration.ZERO, STOP_TIMEOUT)
             .withInspector(connections.serverInspector())
             .withSocketInspector(connections.socketInspector(false))
             .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
