--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -46,7 +46,7 @@
   private final Scheduler scheduler;
   private final IntSupplier daemons;
   private final DecisionLog log;
-  private final AccountAllotment allotment;
+  private final AccountAllotment allotment = new AccountAllotment();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private long prepaid;
   private long drawnByAll;
@@ -73,7 +73,6 @@
     this.scheduler = scheduler;
     this.daemons = daemons;
     this.log = log;
-    this.allotment = new AccountAllotment(scheduler.nowMillis());
   }
 
   void onPrepaid(long tokens) {
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -25,7 +25,7 @@
   /** The largest request is forgotten by one part in so many with each smaller one. */
   private static final int LARGEST_DECAY = 16;
 
-  private final DemandForecast forecast;
+  private DemandForecast forecast; // since the first demand, null before
   private long largest;
   private long drawn;
   private long pending; // never positive
@@ -33,15 +33,6 @@
   private long reserved;
   private long requests;
 
-  /**
-   * Creates an allotment that holds nothing.
-   *
-   * @param nowMillis monotonic time in milliseconds
-   */
-  public AccountAllotment(long nowMillis) {
-    this.forecast = new DemandForecast(nowMillis);
-  }
-
   /**
    * Reserves tokens.
    *
@@ -54,6 +45,10 @@
       return false;
     }
     reserved += tokens;
+    if (forecast == null) {
+      // An account that was idle for long is not taken for one with little demand.
+      forecast = new DemandForecast(nowMillis);
+    }
     largest = Math.max(tokens, largest - largest / LARGEST_DECAY);
     forecast.add(tokens, nowMillis);
     return true;
@@ -100,10 +95,8 @@
       return -Math.max(0, free());
     }
     int holders = SCATTER_DIVISOR * Math.max(1, daemons);
-    long ahead =
-        Math.max(
-            HOLD_REQUESTS * largest,
-            (long) (forecast.tokensPerMilli(nowMillis) * HOLD_AHEAD_MILLIS));
+    double rate = forecast == null ? 0 : forecast.tokensPerMilli(nowMillis);
+    long ahead = Math.max(HOLD_REQUESTS * largest, (long) (rate * HOLD_AHEAD_MILLIS));
     long target = Math.min(ahead, undrawn / holders);
     long needed = waiting - free();
     if (needed > 0 || AllotmentSizing.isLow(target, free())) {
--- a/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
@@ -7,7 +7,7 @@
 
 class AccountAllotmentTest {
 
-  private final AccountAllotment allotment = new AccountAllotment(0);
+  private final AccountAllotment allotment = new AccountAllotment();
 
   @Test
   void reservesOnlyWhatIsDrawn() {
@@ -49,6 +49,20 @@
     assertThat(allotment.wantedChange(2_000, 0, 10, 10_000)).isBetween(0L, 100L);
   }
 
+  /** Guards against a forecast that counts the time before an account's first request. */
+  @Test
+  void holdsTheDemandSinceTheFirstRequest() {
+    allotment.resolve(100_000);
+    for (int i = 0; i < 10; i++) {
+      assertThat(allotment.tryReserve(1_000, 60_000 + 1_000L * i)).isTrue();
+      allotment.settle(1_000, 1_000);
+    }
+    allotment.resolve(10_000);
+    long perMilli = 1;
+    assertThat(allotment.wantedChange(10_000_000, 0, 4, 70_000))
+        .isGreaterThanOrEqualTo(perMilli * AccountAllotment.HOLD_AHEAD_MILLIS);
+  }
+
   @Test
   void givesBackAllThatIsFreeOfABudgetThatWasCut() {
     allotment.resolve(1_000);
