--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -23,8 +23,11 @@
   /** The draw of tokens takes a few milliseconds; a caller waits no longer than this for it. */
   static final long RESERVE_TIMEOUT_MILLIS = 1_500;
 
-  /** Advice when no tokens can be drawn; the store's outages last some seconds. */
-  static final long STORE_RETRY_AFTER_MILLIS = 1_500;
+  /**
+   * Advice when no tokens can be drawn. Another daemon may still hold some, and a caller that comes
+   * back this soon can be served within the shortest objective of today's sites, 600 ms.
+   */
+  static final long STORE_RETRY_AFTER_MILLIS = 400;
 
   /** Advice to a caller whose request did not run, when nothing better is known. */
   static final long RETRY_AFTER_MILLIS = 300;
