--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -29,6 +29,13 @@
   /** Pause before the table is asked again after it failed, in milliseconds. */
   static final long RETRY_MILLIS = 250;
 
+  /**
+   * Age of the rows, in milliseconds, at which a daemon with free tokens reads what all daemons
+   * have drawn. Without it a daemon without demand keeps its tokens while the budget runs out
+   * elsewhere.
+   */
+  static final long REFRESH_MILLIS = 4_000;
+
   private static final String TOTAL = "total";
 
   /** Row of the account: tokens drawn by all daemons. */
@@ -53,6 +60,7 @@
   private long totalVersion;
   private long holderVersion;
   private boolean rowsKnown;
+  private long rowsAt;
   private boolean rowsFresh;
   private boolean outcomeOpen;
   private boolean busy;
@@ -155,6 +163,7 @@
     serveWaiters();
     if (waiters.isEmpty()) {
       endClosing();
+      refreshTotal();
     } else if (rowsFresh) {
       refuseWaiters(new Outcome.Exhausted());
     } else {
@@ -162,6 +171,27 @@
     }
   }
 
+  private void refreshTotal() {
+    boolean isOld = scheduler.nowMillis() - rowsAt >= REFRESH_MILLIS;
+    if (closing != null || !isOld || allotment.free() <= 0) {
+      return;
+    }
+    busy = true;
+    var unused =
+        table
+            .read(List.of(totalKey))
+            .thenAccept(
+                r -> {
+                  busy = false;
+                  if (r instanceof ReadResult.Rows total) {
+                    takeRows(total.rows());
+                    review();
+                  } else {
+                    onFailure(r.toString());
+                  }
+                });
+  }
+
   /** Returns the tokens of the waiting requests that the rest of the budget can cover. */
   private long waitingTokens() {
     long coverable = allotment.free() + Math.max(0, prepaid - drawnByAll);
@@ -223,7 +253,12 @@
       allotment.resolve(drawn);
     }
     rowsKnown = true;
+    onRowsRead();
+  }
+
+  private void onRowsRead() {
     rowsFresh = true;
+    rowsAt = scheduler.nowMillis();
     failure = "";
   }
 
@@ -258,8 +293,7 @@
       drawnByAll = all;
       outcomeOpen = false;
       allotment.resolve(drawn);
-      rowsFresh = true;
-      failure = "";
+      onRowsRead();
       serveWaiters();
       reviewUnlessDone();
     } else if (result instanceof WriteResult.Conflict c) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -154,7 +154,7 @@
 
   /** Guards against losing all upstreams whose entries lapsed while the store was away. */
   @Test
-  void keepsLapsedUpstreamsForAMomentAfterTheStoreReturned() {
+  void keepsLapsedUpstreamsForMomentAfterTheStoreReturned() {
     start();
     feed.polls.get("upstreams").add(new ChangeFeed.Result.Failed("down"));
     feed.polls.get("upstreams").add(changes(12, "a", null, "b", null));
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -55,7 +55,7 @@
   @EnumSource(
       value = AttemptOutcome.class,
       names = {"FAILED", "BROKEN", "SILENT"})
-  void doesNotRepeatARequestThatMayHaveRun(AttemptOutcome outcome) {
+  void doesNotRepeatRequestThatMayHaveRun(AttemptOutcome outcome) {
     ForwardHarness h = plain(Repetition.ONCE, 3);
     h.serve(ForwardHarness.plain("/a/x", "key"));
     h.last().fail(outcome);
@@ -88,7 +88,7 @@
   }
 
   @Test
-  void repeatsAFailureOfARepeatableRequest() {
+  void repeatsFailureOfRepeatableRequest() {
     ForwardHarness h = plain(Repetition.REPEATABLE, 2);
     h.serve(ForwardHarness.plain("/a/x", "key"));
     h.last().whole(500, "broken");
@@ -97,7 +97,7 @@
   }
 
   @Test
-  void takesASilentRepeatableRequestElsewhere() {
+  void takesSilentRepeatableRequestElsewhere() {
     ForwardHarness h = plain(Repetition.REPEATABLE, 2);
     h.serve(ForwardHarness.plain("/a/x", "key"));
     h.scheduler.run(1_000);
@@ -116,7 +116,7 @@
   }
 
   @Test
-  void endsTheWorkOfACallerThatIsGone() {
+  void endsTheWorkOfCallerThatIsGone() {
     ForwardHarness h = stream(Repetition.RESUMABLE);
     Forwarder.Handle handle = h.serve(ForwardHarness.prompt(100, 50));
     handle.onCallerGone();
@@ -126,7 +126,7 @@
   }
 
   @Test
-  void endsAStreamOnlyAfterItsLastEvent() {
+  void endsStreamOnlyAfterItsLastEvent() {
     ForwardHarness h = stream(Repetition.ONCE);
     h.serve(ForwardHarness.prompt(100, 50));
     h.last().head(200);
@@ -139,7 +139,7 @@
 
   /** Guards against a stream that looks complete although its upstream broke off. */
   @Test
-  void abortsABrokenStreamThatCannotBeResumed() {
+  void abortsBrokenStreamThatCannotBeResumed() {
     ForwardHarness h = stream(Repetition.ONCE);
     h.serve(ForwardHarness.prompt(100, 50));
     h.last().head(200);
@@ -151,7 +151,7 @@
 
   /** Guards against missing and repeated events when another upstream goes on. */
   @Test
-  void resumesABrokenStreamAfterTheLastWholeEvent() {
+  void resumesBrokenStreamAfterTheLastWholeEvent() {
     ForwardHarness h = stream(Repetition.RESUMABLE);
     h.serve(ForwardHarness.prompt(100, 50));
     final ForwardHarness.Sent first = h.last();
@@ -170,7 +170,7 @@
   }
 
   @Test
-  void resumesAStreamThatFallsSilent() {
+  void resumesStreamThatFallsSilent() {
     ForwardHarness h = stream(Repetition.RESUMABLE);
     h.serve(ForwardHarness.prompt(100, 50));
     h.last().head(200);
@@ -182,7 +182,7 @@
 
   /** Guards against an upstream that is blamed for a caller that reads slowly. */
   @Test
-  void waitsForASlowCallerWithoutBlamingTheUpstream() {
+  void waitsForSlowCallerWithoutBlamingTheUpstream() {
     ForwardHarness h = stream(Repetition.RESUMABLE);
     final Forwarder.Handle handle = h.serve(ForwardHarness.prompt(100, 50));
     h.takesMore = false;
@@ -207,7 +207,7 @@
   }
 
   @Test
-  void chargesNothingForARequestThatDidNotRun() {
+  void chargesNothingForRequestThatDidNotRun() {
     ForwardHarness h = stream(Repetition.ONCE);
     h.serve(ForwardHarness.prompt(1_000, 500));
     h.last().fail(AttemptOutcome.NOT_EXECUTED);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -106,7 +106,7 @@
   }
 
   @Test
-  void givesBackWhatIsFreeWhenABudgetIsCut() {
+  void givesBackWhatIsFreeWhenBudgetIsCut() {
     PrepaidBudgets a = daemon("a", 1, 100_000);
     assertThat(reserve(a, 500)).isInstanceOf(Outcome.Reserved.class);
     a.onAccounts(terms(200));
@@ -115,9 +115,29 @@
     assertThat(reserve(a, 10)).isInstanceOf(Outcome.Exhausted.class);
   }
 
+  /** Guards against tokens that an idle daemon keeps while the budget runs out elsewhere. */
+  @Test
+  void givesBackWhatAnIdleDaemonHoldsWhenTheBudgetRunsLow() {
+    PrepaidBudgets idle = daemon("idle", 2, 100_000);
+    for (int i = 0; i < 5; i++) {
+      assertThat(reserve(idle, 2_000)).isInstanceOf(Outcome.Reserved.class);
+      idle.settle(ACCOUNT, 2_000, 2_000);
+    }
+    PrepaidBudgets busy = daemon("busy", 2, 100_000);
+    long served = 5 * 2_000;
+    for (int i = 0; i < 60; i++) {
+      if (reserve(busy, 2_000) instanceof Outcome.Reserved) {
+        busy.settle(ACCOUNT, 2_000, 2_000);
+        served += 2_000;
+      }
+    }
+    // The users' target: what fits into 97 in 100 of the prepaid tokens is served.
+    assertThat(served).isGreaterThanOrEqualTo(97_000);
+  }
+
   /** Guards against spending tokens that a give-back with a lost answer has taken away. */
   @Test
-  void doesNotSpendWhatAGiveBackOfUnknownOutcomeMayHaveTaken() {
+  void doesNotSpendWhatGiveBackOfUnknownOutcomeMayHaveTaken() {
     PrepaidBudgets a = daemon("a", 1, 100_000);
     assertThat(reserve(a, 5_000)).isInstanceOf(Outcome.Reserved.class);
     a.settle(ACCOUNT, 5_000, 5_000);
--- a/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
@@ -64,7 +64,7 @@
   }
 
   @Test
-  void givesBackAllThatIsFreeOfABudgetThatWasCut() {
+  void givesBackAllThatIsFreeOfBudgetsThatWereCut() {
     allotment.resolve(1_000);
     assertThat(allotment.tryReserve(300, 0)).isTrue();
     assertThat(allotment.wantedChange(-1, 0, 4, 0)).isEqualTo(-700);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -256,7 +256,7 @@
 
   /** Guards against a broken stream that ends like a complete one. */
   @Test
-  void endsTheConnectionWithoutAnEndMarkWhenAStreamBreaks() throws Exception {
+  void endsTheConnectionWithoutAnEndMarkWhenStreamBreaks() throws Exception {
     start(
         (line, socket, out) ->
             out.write((CHUNKED + chunk(EVENT)).getBytes(StandardCharsets.UTF_8)));
@@ -308,7 +308,7 @@
 
   /** Guards against a second request that is hidden in the body of the first one. */
   @Test
-  void refusesABodyWithTwoLengths() throws Exception {
+  void refusesBodyWithTwoLengths() throws Exception {
     start(RawServer.respond("200 OK", "hello"));
     try (Socket s = connect()) {
       send(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -130,7 +130,7 @@
   }
 
   @Test
-  void passesOnAWholeAnswerAndTheTargetUnchanged() throws Exception {
+  void passesOnWholeAnswerAndTheTargetUnchanged() throws Exception {
     try (RawServer server = new RawServer(raw(OK + "Content-Length: 5\r\n\r\nhello"))) {
       send(server.address());
       assertThat(heard()).isEqualTo("[head 200]hello[end]");
@@ -140,14 +140,14 @@
 
   /** Guards against bytes after an answer that are taken for a part of it. */
   @Test
-  void ignoresBytesAfterAWholeAnswer() throws Exception {
+  void ignoresBytesAfterWholeAnswer() throws Exception {
     String answer = OK + "Content-Length: 5\r\n\r\nhello" + OK + "Content-Length: 3\r\n\r\nbad";
     assertThat(heardFrom(answer)).isEqualTo("[head 200]hello[end]");
   }
 
   /** Guards against a truncated answer that looks complete. */
   @Test
-  void reportsATruncatedAnswer() throws Exception {
+  void reportsTruncatedAnswer() throws Exception {
     assertThat(heardFrom(OK + "Content-Length: 50\r\n\r\nhello"))
         .isEqualTo("[head 200]hello[failure BROKEN]");
     assertThat(heardFrom(OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"))
