--- /dev/null
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PlacementTest.java
@@ -0,0 +1,104 @@
+package org.hibiscusreel.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+
+  private final Random random = new Random(7);
+
+  private static List<Placement.Candidate> candidates(int count) {
+    List<Placement.Candidate> list = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String domain = i % 2 == 0 ? "here" : "there";
+      list.add(
+          new Placement.Candidate(
+              new UpstreamEntry("u" + i, "s", "a:" + i, domain, false, 4, 0),
+              new UpstreamLoad()));
+    }
+    return list;
+  }
+
+  private static PromptShape prompt(String shared) {
+    return new PromptShape(
+        1_000,
+        100,
+        List.of(new PromptShape.Part(shared, 900), new PromptShape.Part("own", 100)));
+  }
+
+  private Placement.Candidate choose(
+      List<Placement.Candidate> candidates, Optional<PromptShape> prompt) {
+    return Placement.choose(candidates, prompt, "here", 0, random::nextLong).orElseThrow();
+  }
+
+  @Test
+  void findsNothingAmongNoCandidates() {
+    assertThat(Placement.choose(List.of(), Optional.empty(), "here", 0, () -> 0)).isEmpty();
+  }
+
+  /** Guards against shared beginnings that are read by many upstreams. */
+  @Test
+  void sendsPromptsWithTheSameBeginningToTheSameUpstream() {
+    List<Placement.Candidate> mine = candidates(8);
+    List<Placement.Candidate> ofAnotherDaemon = candidates(8);
+    for (int i = 0; i < 50; i++) {
+      Optional<PromptShape> p = Optional.of(prompt("part" + i));
+      assertThat(choose(mine, p).entry()).isEqualTo(choose(ofAnotherDaemon, p).entry());
+    }
+  }
+
+  @Test
+  void spreadsDifferentBeginnings() {
+    List<Placement.Candidate> list = candidates(8);
+    Set<String> used = new HashSet<>();
+    for (int i = 0; i < 100; i++) {
+      used.add(choose(list, Optional.of(prompt("part" + i))).entry().id());
+    }
+    assertThat(used).hasSize(8);
+  }
+
+  /**
+   * Guards against an upstream that drowns in one beginning that much of the traffic shares: a
+   * burst of 64 requests, none of which ends, with the same beginning.
+   */
+  @Test
+  void passesOverAnUpstreamThatHoldsClearlyMoreThanTheOthers() {
+    List<Placement.Candidate> list = candidates(8);
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 64; i++) {
+      Placement.Candidate c = choose(list, Optional.of(prompt("hot")));
+      c.load().onSent(1_000);
+      counts.merge(c.entry().id(), 1, Integer::sum);
+    }
+    double mean = 64.0 / 8;
+    assertThat(counts.values())
+        .allSatisfy(n -> assertThat(n.doubleValue()).isLessThan(mean * 1.5 + 1));
+  }
+
+  @Test
+  void sendsPlainRequestsToTheLeastBusyUpstreamOfItsOwnFailureDomainFirst() {
+    List<Placement.Candidate> list = candidates(4);
+    assertThat(choose(list, Optional.empty()).entry().failureDomain()).isEqualTo("here");
+    list.get(0).load().onSent(0);
+    list.get(2).load().onSent(0);
+    assertThat(choose(list, Optional.empty()).entry().failureDomain()).isEqualTo("there");
+  }
+
+  @Test
+  void avoidsUpstreamsThatFailedUnlessNoneIsLeft() {
+    List<Placement.Candidate> list = candidates(2);
+    list.get(0).load().onFailure(0);
+    assertThat(choose(list, Optional.empty())).isSameAs(list.get(1));
+    list.get(1).load().onFailure(0);
+    assertThat(Placement.choose(list, Optional.empty(), "here", 0, () -> 0)).isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
@@ -0,0 +1,41 @@
+package org.hibiscusreel.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class UpstreamLoadTest {
+
+  private final UpstreamLoad load = new UpstreamLoad();
+
+  @Test
+  void countsRequestsAndUnreadPrompts() {
+    load.onSent(100);
+    load.onSent(50);
+    load.onRead(100);
+    load.onEnded();
+    assertThat(load.inFlight()).isEqualTo(1);
+    assertThat(load.unreadTokens()).isEqualTo(50);
+  }
+
+  @Test
+  void avoidsAFailingUpstreamLongerEachTimeUpToABound() {
+    load.onFailure(0);
+    assertThat(load.isSuspended(UpstreamLoad.FIRST_SUSPENSION_MILLIS - 1)).isTrue();
+    assertThat(load.isSuspended(UpstreamLoad.FIRST_SUSPENSION_MILLIS)).isFalse();
+    load.onFailure(0);
+    assertThat(load.isSuspended(2 * UpstreamLoad.FIRST_SUSPENSION_MILLIS - 1)).isTrue();
+    for (int i = 0; i < 40; i++) {
+      load.onFailure(0);
+    }
+    assertThat(load.isSuspended(UpstreamLoad.MAX_SUSPENSION_MILLIS - 1)).isTrue();
+    assertThat(load.isSuspended(UpstreamLoad.MAX_SUSPENSION_MILLIS)).isFalse();
+  }
+
+  @Test
+  void usesAnUpstreamAgainAsSoonAsItAnswers() {
+    load.onFailure(0);
+    load.onSuccess();
+    assertThat(load.isSuspended(0)).isFalse();
+  }
+}
