--- a/core/src/test/java/org/hibiscusreel/core/forward/PlacementTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PlacementTest.java
@@ -22,17 +22,14 @@
       String domain = i % 2 == 0 ? "here" : "there";
       list.add(
           new Placement.Candidate(
-              new UpstreamEntry("u" + i, "s", "a:" + i, domain, false, 4, 0),
-              new UpstreamLoad()));
+              new UpstreamEntry("u" + i, "s", "a:" + i, domain, false, 4, 0), new UpstreamLoad()));
     }
     return list;
   }
 
   private static PromptShape prompt(String shared) {
     return new PromptShape(
-        1_000,
-        100,
-        List.of(new PromptShape.Part(shared, 900), new PromptShape.Part("own", 100)));
+        1_000, 100, List.of(new PromptShape.Part(shared, 900), new PromptShape.Part("own", 100)));
   }
 
   private Placement.Candidate choose(
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
@@ -19,7 +19,7 @@
   }
 
   @Test
-  void avoidsAFailingUpstreamLongerEachTimeUpToABound() {
+  void avoidsFailingUpstreamsLongerEachTimeUpToOneBound() {
     load.onFailure(0);
     assertThat(load.isSuspended(UpstreamLoad.FIRST_SUSPENSION_MILLIS - 1)).isTrue();
     assertThat(load.isSuspended(UpstreamLoad.FIRST_SUSPENSION_MILLIS)).isFalse();
