Take an upstream that left during an outage as gone before the bound

Cause: the entry of an upstream was removed 5 ms before the daemon's feed answered again after a cut; the removal counted as a lapse and the upstream stayed in use for 2.5 s, over the two seconds that a leaving upstream may still get requests. The replay showed neither an 'upstream' nor an 'upstream_gone' line, so the removal had been taken for a lapse; such removals now have a line of their own, upstream_lapsed. Change: the grace is 1.8 s. Test: endsTheGraceBeforeTheBoundForUpstreamsThatLeft failed first.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -254,6 +254,10 @@
         } else if (upstreams.remove(c.key(), scheduler.nowMillis())) {
           gone.add(c.key());
           log.record("upstream_gone", Map.of("upstream", c.key()));
+        } else if (upstreams.find(c.key()).isPresent()) {
+          log.record(
+              "upstream_lapsed",
+              Map.of("upstream", c.key(), "grace_ms", UpstreamCatalog.LAPSE_GRACE_MILLIS));
         }
       }
       listener.onUpstreamsGone(gone);
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -17,9 +17,11 @@
 public final class UpstreamCatalog {
 
   /**
-   * Live upstreams are listed again within two seconds of the store's return; half a second more.
+   * Live upstreams are listed again about two seconds after the store's return. An upstream that
+   * really left must get no request two seconds after the store took its leave, so the grace is
+   * shorter by the time that a request needs on its way.
    */
-  public static final long LAPSE_GRACE_MILLIS = 2_500;
+  public static final long LAPSE_GRACE_MILLIS = 1_800;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
@@ -55,6 +55,16 @@
     assertThat(usable(FAR + UpstreamCatalog.LAPSE_GRACE_MILLIS)).containsExactly("b");
   }
 
+  /** Guards against requests for an upstream that left just when the store answered again. */
+  @Test
+  void endsTheGraceBeforeTheBoundForUpstreamsThatLeft() {
+    long drainBoundMillis = 2_000;
+    catalog.put(entry("a", false));
+    catalog.onStoreRegained(FAR);
+    assertThat(catalog.remove("a", FAR + 1)).isFalse();
+    assertThat(usable(FAR + drainBoundMillis - 100)).isEmpty();
+  }
+
   /** Guards against new requests for an upstream that said it leaves and then went. */
   @Test
   void givesNoGraceToUpstreamsThatLeave() {
