--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
@@ -58,7 +58,7 @@
   /** Guards against requests for an upstream that left just when the store answered again. */
   @Test
   void endsTheGraceBeforeTheBoundForUpstreamsThatLeft() {
-    long drainBoundMillis = 2_000;
+    final long drainBoundMillis = 2_000;
     catalog.put(entry("a", false));
     catalog.onStoreRegained(FAR);
     assertThat(catalog.remove("a", FAR + 1)).isFalse();
