Hold prepaid tokens by demand and take over what a dead run left

Cause: while all hosts are cut off from the store, a third to a half of the model requests were refused, since each daemon held at most one part in 2N of the undrawn tokens although callers are spread unevenly. A failure of the store also stayed on record until the next successful write, so requests were refused with it long after the outage.

Change: a daemon holds twelve seconds of its own demand and two standard deviations, cut down in proportion when the budget does not cover all hosts. The row of the host declares a ceiling on what its run may consume; a fresh run of the same host takes the row over less that ceiling. Ceilings are steady for four seconds, the time in which a killed process is replaced, and rise with the store's clock afterwards. After a failure the store is asked until it answers. A request that only other daemons hold tokens for gets 503 with a time to come back instead of 402.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -3,26 +3,30 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
-import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.Cancellable;
-import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.ReadResult;
 import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.core.budget.AccountAllotment;
+import org.hibiscusreel.core.budget.AllotmentShare;
+import org.hibiscusreel.core.budget.SpendingCeiling;
 
 /**
- * Prepaid tokens of one client account. The row of the account holds what all daemons have drawn,
- * the row of this incarnation its own part; one transaction with the versions of both changes them
- * together. A transaction whose answer was lost may still take effect later, but only as long as
- * neither version changed, so the next transaction or conflict settles it.
+ * Prepaid tokens of one client account. A transaction whose answer was lost may still take effect
+ * later, but only as long as neither row changed, so the next transaction or conflict settles it.
+ *
+ * <p>The row of a host outlives the run of the daemon that wrote it. A fresh run takes the row over
+ * with all that the dead one can't have consumed. That the earlier run is dead follows from the
+ * address on which this daemon serves callers: a live process would still hold it.
  */
 final class AccountBudget {
 
@@ -36,30 +40,34 @@
    */
   static final long REFRESH_MILLIS = 4_000;
 
-  private static final String TOTAL = "total";
+  /** The same for a budget that nears its end, where tokens held elsewhere are missed soon. */
+  static final long LOW_REFRESH_MILLIS = 1_000;
 
-  /** Row of the account: tokens drawn by all daemons. */
-  record TotalRow(long drawn) {}
+  /** A budget is low below one in this many of its tokens. */
+  static final long LOW_DIVISOR = 5;
 
-  /** Row of one incarnation: tokens drawn, tokens consumed and requests billed. */
-  record HolderRow(long drawn, long spent, long requests) {}
+  /**
+   * A request that finds too few undrawn tokens may come back if the other daemons hold this many
+   * times its size, since they give back what exceeds their share within a second or two.
+   */
+  static final long HELD_ELSEWHERE_FACTOR = 4;
 
   private record Waiter(long tokens, CompletableFuture<Outcome> outcome, Cancellable timer) {}
 
   private final String account;
-  private final String totalKey;
-  private final String holderKey;
+  private final String incarnation;
+  private final AllotmentRows rows;
   private final TableService table;
   private final Scheduler scheduler;
-  private final IntSupplier daemons;
+  private final StoreClock clock;
+  private final LongSupplier maxCeilingAge;
   private final DecisionLog log;
   private final AccountAllotment allotment = new AccountAllotment();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private long prepaid;
-  private long drawnByAll;
-  private long totalVersion;
-  private long holderVersion;
   private boolean rowsKnown;
+  private boolean isOwner;
+  private boolean isFenced;
   private long rowsAt;
   private boolean rowsFresh;
   private boolean outcomeOpen;
@@ -69,17 +77,20 @@
 
   AccountBudget(
       String account,
+      String host,
       String incarnation,
       TableService table,
       Scheduler scheduler,
-      IntSupplier daemons,
+      StoreClock clock,
+      LongSupplier maxCeilingAge,
       DecisionLog log) {
     this.account = account;
-    this.totalKey = "allotment/" + account + "/" + TOTAL;
-    this.holderKey = "allotment/" + account + "/" + incarnation;
+    this.incarnation = incarnation;
+    this.rows = new AllotmentRows(account, host);
     this.table = table;
     this.scheduler = scheduler;
-    this.daemons = daemons;
+    this.clock = clock;
+    this.maxCeilingAge = maxCeilingAge;
     this.log = log;
   }
 
@@ -95,7 +106,7 @@
   }
 
   CompletableFuture<Outcome> reserve(long tokens, long timeoutMillis) {
-    if (waiters.isEmpty() && allotment.tryReserve(tokens, scheduler.nowMillis())) {
+    if (waiters.isEmpty() && tryReserve(tokens)) {
       review();
       return CompletableFuture.completedFuture(new Outcome.Reserved());
     }
@@ -119,6 +130,10 @@
     return outcome;
   }
 
+  private boolean tryReserve(long tokens) {
+    return allotment.tryReserve(tokens, scheduler.nowMillis(), clock.millis());
+  }
+
   void settle(long tokens, long used) {
     allotment.settle(tokens, used);
   }
@@ -144,19 +159,52 @@
       return;
     }
     long change = wantedChange();
-    if (change == 0 && !outcomeOpen) {
+    if (change == 0 && !outcomeOpen && !mustWrite()) {
       onNothingToChange();
       return;
     }
     transact(change);
   }
 
+  /** Tells whether the row of this host must be written although nothing is drawn. */
+  private boolean mustWrite() {
+    if (isFenced) {
+      return false;
+    }
+    return isTakeOverDue()
+        || allotment.needsCeiling(
+            waitingTokens(), maxCeilingAge.getAsLong(), scheduler.nowMillis(), clock.millis());
+  }
+
+  private boolean isTakeOverDue() {
+    return !isOwner && rows.holder().drawn() > 0;
+  }
+
   private long wantedChange() {
+    if (isFenced || isTakeOverDue()) {
+      return 0;
+    }
     if (closing != null) {
       return -Math.max(0, allotment.free());
     }
-    return allotment.wantedChange(
-        prepaid - drawnByAll, waitingTokens(), daemons.getAsInt(), scheduler.nowMillis());
+    long wanted = allotment.wanted(scheduler.nowMillis());
+    AllotmentRows.TotalRow total = rows.total();
+    AllotmentShare.Account view =
+        new AllotmentShare.Account(
+            prepaid - total.drawn(),
+            prepaid - committedByAll(),
+            wanted,
+            total.wanted() - rows.holder().wanted() + wanted);
+    return AllotmentShare.change(view, allotment.meanSize(), allotment.free(), waitingTokens());
+  }
+
+  private long committed() {
+    return allotment.spent() + allotment.reserved();
+  }
+
+  /** Returns what all hosts have declared, with the present figure of this one. */
+  private long committedByAll() {
+    return rows.total().committed() - rows.holder().committed() + committed();
   }
 
   private void onNothingToChange() {
@@ -165,21 +213,39 @@
       endClosing();
       refreshTotal();
     } else if (rowsFresh) {
-      refuseWaiters(new Outcome.Exhausted());
+      refuseUncovered();
     } else {
       readRows();
     }
   }
 
+  /** Refuses what waits; a caller that others have tokens for is told to come back. */
+  private void refuseUncovered() {
+    long elsewhere = heldElsewhere();
+    while (!waiters.isEmpty()) {
+      Waiter w = waiters.removeFirst();
+      boolean isHeld = elsewhere >= HELD_ELSEWHERE_FACTOR * w.tokens();
+      complete(w, isHeld ? new Outcome.HeldElsewhere() : new Outcome.Exhausted());
+    }
+  }
+
+  private long heldElsewhere() {
+    long heldByAll = rows.total().drawn() - rows.total().committed();
+    return heldByAll - (rows.holder().drawn() - rows.holder().committed());
+  }
+
   private void refreshTotal() {
-    boolean isOld = scheduler.nowMillis() - rowsAt >= REFRESH_MILLIS;
-    if (closing != null || !isOld || allotment.free() <= 0) {
+    boolean isLow = prepaid - committedByAll() < prepaid / LOW_DIVISOR;
+    long maxAge = isLow ? LOW_REFRESH_MILLIS : REFRESH_MILLIS;
+    boolean isOld = scheduler.nowMillis() - rowsAt >= maxAge && allotment.free() > 0;
+    // After a failure only an answer tells that the table is back.
+    if (closing != null || (failure.isEmpty() && !isOld)) {
       return;
     }
     busy = true;
     var unused =
         table
-            .read(List.of(totalKey))
+            .read(List.of(rows.totalKey()))
             .thenAccept(
                 r -> {
                   busy = false;
@@ -194,7 +260,7 @@
 
   /** Returns the tokens of the waiting requests that the rest of the budget can cover. */
   private long waitingTokens() {
-    long coverable = allotment.free() + Math.max(0, prepaid - drawnByAll);
+    long coverable = allotment.free() + Math.max(0, prepaid - rows.total().drawn());
     long sum = 0;
     for (Waiter w : waiters) {
       if (sum + w.tokens() <= coverable) {
@@ -210,12 +276,12 @@
    */
   private void readRows() {
     busy = true;
-    var unused = table.read(List.of(totalKey)).thenAccept(this::onTotalRead);
+    var unused = table.read(List.of(rows.totalKey())).thenAccept(this::onTotalRead);
   }
 
   private void onTotalRead(ReadResult total) {
     if (total instanceof ReadResult.Rows t) {
-      var unused = table.read(List.of(holderKey)).thenAccept(h -> onRead(t.rows(), h));
+      var unused = table.read(List.of(rows.holderKey())).thenAccept(h -> onRead(t.rows(), h));
     } else {
       onRead(List.of(), total);
     }
@@ -224,38 +290,48 @@
   private void onRead(List<Row> total, ReadResult holder) {
     busy = false;
     if (holder instanceof ReadResult.Rows h) {
-      List<Row> rows = new ArrayList<>(total);
-      rows.addAll(h.rows());
-      takeRows(rows);
+      List<Row> found = new ArrayList<>(total);
+      found.addAll(h.rows());
+      takeRows(found);
       review();
     } else {
       onFailure(holder.toString());
     }
   }
 
-  /** Takes rows as the store has them; one that is not among them is as it was. */
-  private void takeRows(List<Row> rows) {
-    boolean changed = false;
-    long drawn = allotment.drawn();
-    for (Row row : rows) {
-      if (row.key().equals(totalKey)) {
-        changed |= row.version() != totalVersion;
-        totalVersion = row.version();
-        drawnByAll = row.version() == 0 ? 0 : Json.read(row.value(), TotalRow.class).drawn();
-      } else if (row.key().equals(holderKey)) {
-        changed |= row.version() != holderVersion;
-        holderVersion = row.version();
-        drawn = row.version() == 0 ? 0 : Json.read(row.value(), HolderRow.class).drawn();
-      }
+  private void takeRows(List<Row> found) {
+    boolean changed = rows.take(found);
+    AllotmentRows.HolderRow holder = rows.holder();
+    final boolean wasOwner = isOwner;
+    isOwner = holder.incarnation().equals(incarnation);
+    if (wasOwner && !isOwner) {
+      onFenced(holder.incarnation());
+    } else if (!isOwner && holder.drawn() > 0) {
+      boolean isTimeKnown = clock.millis() > 0;
+      long spent = isTimeKnown ? holder.spentAtMost(clock.millis()) : holder.drawn();
+      allotment.inherit(spent, holder.requests(), holder.wanted(), scheduler.nowMillis());
     }
     if (!outcomeOpen || changed) {
       outcomeOpen = false;
-      allotment.resolve(drawn);
+      resolve();
     }
     rowsKnown = true;
     onRowsRead();
   }
 
+  /** Another process of this host took the row over, so nothing may be spent from it any more. */
+  private void onFenced(String successor) {
+    isFenced = true;
+    log.record("allotment_fenced", Map.of("account", account, "successor", successor));
+  }
+
+  /** Takes the row of this host for what is held; the row of a dead run must be replaced first. */
+  private void resolve() {
+    AllotmentRows.HolderRow holder = rows.holder();
+    allotment.resolve(
+        isOwner ? holder.drawn() : 0, isOwner ? holder.ceiling() : SpendingCeiling.NONE);
+  }
+
   private void onRowsRead() {
     rowsFresh = true;
     rowsAt = scheduler.nowMillis();
@@ -264,35 +340,28 @@
 
   private void transact(long change) {
     busy = true;
-    allotment.begin(change);
-    long drawn = allotment.drawn() + change;
-    long all = drawnByAll + change;
-    HolderRow holder = new HolderRow(drawn, allotment.spent(), allotment.requests());
-    List<Mutation> mutations =
-        List.of(
-            Mutation.replace(totalKey, totalVersion, Json.write(new TotalRow(all))),
-            Mutation.replace(holderKey, holderVersion, Json.write(holder)));
-    var unused = table.transact(mutations).thenAccept(w -> onWritten(w, change, drawn, all));
-  }
-
-  private void onWritten(WriteResult result, long change, long drawn, long all) {
+    long now = scheduler.nowMillis();
+    AllotmentRows.HolderRow next =
+        new AllotmentRows.HolderRow(
+            incarnation,
+            rows.holder().drawn() + change,
+            allotment.spent(),
+            committed() + waitingTokens(),
+            allotment.requests(),
+            closing == null ? allotment.wanted(now) : 0,
+            allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+    allotment.begin(change, next.ceiling());
+    var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, change, next));
+  }
+
+  private void onWritten(WriteResult result, long change, AllotmentRows.HolderRow next) {
     busy = false;
-    log.record(
-        "allotment",
-        Map.of(
-            "account", account,
-            "change", change,
-            "drawn", drawn,
-            "drawn_by_all", all,
-            "prepaid", prepaid,
-            "spent", allotment.spent(),
-            "outcome", result.getClass().getSimpleName()));
+    log(result, change, next);
     if (result instanceof WriteResult.Committed c) {
-      totalVersion = c.versions().get(0);
-      holderVersion = c.versions().get(1);
-      drawnByAll = all;
+      rows.onCommitted(next, c.versions());
+      isOwner = true;
       outcomeOpen = false;
-      allotment.resolve(drawn);
+      resolve();
       onRowsRead();
       serveWaiters();
       reviewUnlessDone();
@@ -303,12 +372,28 @@
       if (result instanceof WriteResult.Unknown) {
         outcomeOpen = true;
       } else if (!outcomeOpen) {
-        allotment.resolve(allotment.drawn());
+        resolve();
       }
       onFailure(result.toString());
     }
   }
 
+  private void log(WriteResult result, long change, AllotmentRows.HolderRow next) {
+    Map<String, Object> fields = new LinkedHashMap<>();
+    fields.put("account", account);
+    fields.put("change", change);
+    fields.put("drawn", next.drawn());
+    fields.put("drawn_by_all", rows.total().drawn() + change);
+    fields.put("committed_by_all", rows.total().committed());
+    fields.put("wanted", next.wanted());
+    fields.put("wanted_by_all", rows.total().wanted());
+    fields.put("prepaid", prepaid);
+    fields.put("spent", next.spent());
+    fields.put("before", isOwner ? "" : rows.holder().incarnation());
+    fields.put("outcome", result.getClass().getSimpleName());
+    log.record("allotment", fields);
+  }
+
   private void reviewUnlessDone() {
     if (waiters.isEmpty() && closing == null) {
       return;
@@ -334,7 +419,7 @@
 
   private void serveWaiters() {
     for (Waiter w : List.copyOf(waiters)) {
-      if (allotment.tryReserve(w.tokens(), scheduler.nowMillis())) {
+      if (tryReserve(w.tokens())) {
         waiters.remove(w);
         complete(w, new Outcome.Reserved());
       }
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
@@ -0,0 +1,131 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.util.List;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.Row;
+import org.hibiscusreel.core.budget.SpendingCeiling;
+
+/**
+ * The two rows that a daemon writes for one account, as the store has them: the row of the account
+ * with the sums of all hosts, and the row of this host. One transaction with the versions of both
+ * changes them together, so the sums always agree with the rows of the hosts.
+ */
+final class AllotmentRows {
+
+  private static final String TABLE = "allotment/";
+  private static final String TOTAL = "/total";
+  private static final String HOST = "/host.";
+
+  /**
+   * Row of the account.
+   *
+   * @param drawn tokens drawn by all hosts
+   * @param committed tokens consumed or reserved on all hosts, as last declared
+   * @param wanted tokens that all hosts would like to hold, as last declared
+   */
+  record TotalRow(long drawn, long committed, long wanted) {
+
+    static final TotalRow EMPTY = new TotalRow(0, 0, 0);
+
+    TotalRow with(HolderRow before, HolderRow after) {
+      return new TotalRow(
+          drawn + after.drawn() - before.drawn(),
+          committed + after.committed() - before.committed(),
+          wanted + after.wanted() - before.wanted());
+    }
+  }
+
+  /**
+   * Row of one host.
+   *
+   * @param incarnation run of the daemon that wrote it
+   * @param drawn tokens drawn by the host
+   * @param spent tokens of the drawn ones that were consumed
+   * @param committed tokens of the drawn ones that were consumed or are reserved
+   * @param requests requests billed
+   * @param wanted tokens that the host would like to hold
+   * @param ceiling bound on what this run consumes
+   */
+  record HolderRow(
+      String incarnation,
+      long drawn,
+      long spent,
+      long committed,
+      long requests,
+      long wanted,
+      SpendingCeiling ceiling) {
+
+    static final HolderRow EMPTY = new HolderRow("", 0, 0, 0, 0, 0, SpendingCeiling.NONE);
+
+    /** Returns the tokens that the run consumed at most if it was dead at a time of the store. */
+    long spentAtMost(long storeMillis) {
+      return Math.min(drawn, Math.max(spent, ceiling.at(storeMillis)));
+    }
+  }
+
+  private final String totalKey;
+  private final String holderKey;
+  private TotalRow total = TotalRow.EMPTY;
+  private HolderRow holder = HolderRow.EMPTY;
+  private long totalVersion;
+  private long holderVersion;
+
+  AllotmentRows(String account, String host) {
+    this.totalKey = TABLE + account + TOTAL;
+    this.holderKey = TABLE + account + HOST + host;
+  }
+
+  String totalKey() {
+    return totalKey;
+  }
+
+  String holderKey() {
+    return holderKey;
+  }
+
+  TotalRow total() {
+    return total;
+  }
+
+  HolderRow holder() {
+    return holder;
+  }
+
+  /**
+   * Takes rows as the store has them; one that is not among them is as it was.
+   *
+   * @return true if a version differs from what was known
+   */
+  boolean take(List<Row> rows) {
+    boolean changed = false;
+    for (Row row : rows) {
+      boolean exists = row.version() != 0;
+      if (row.key().equals(totalKey)) {
+        changed |= row.version() != totalVersion;
+        totalVersion = row.version();
+        total = exists ? Json.read(row.value(), TotalRow.class) : TotalRow.EMPTY;
+      } else if (row.key().equals(holderKey)) {
+        changed |= row.version() != holderVersion;
+        holderVersion = row.version();
+        holder = exists ? Json.read(row.value(), HolderRow.class) : HolderRow.EMPTY;
+      }
+    }
+    return changed;
+  }
+
+  /** Returns the transaction that replaces the row of this host. */
+  List<Mutation> replace(HolderRow next) {
+    return List.of(
+        Mutation.replace(totalKey, totalVersion, Json.write(total.with(holder, next))),
+        Mutation.replace(holderKey, holderVersion, Json.write(next)));
+  }
+
+  /** Notes that the transaction was committed. */
+  void onCommitted(HolderRow next, List<Long> versions) {
+    total = total.with(holder, next);
+    holder = next;
+    totalVersion = versions.get(0);
+    holderVersion = versions.get(1);
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -29,6 +29,9 @@
    */
   static final long STORE_RETRY_AFTER_MILLIS = 400;
 
+  /** Advice while other daemons hold tokens; they review a low budget every second. */
+  static final long HELD_ELSEWHERE_RETRY_AFTER_MILLIS = 1_200;
+
   /** Advice to a caller whose request did not run, when nothing better is known. */
   static final long RETRY_AFTER_MILLIS = 300;
 
@@ -110,6 +113,11 @@
       }
     } else if (outcome instanceof PrepaidBudgets.Outcome.Exhausted) {
       refuse(Refusal.Kind.BUDGET_EXHAUSTED, 0, "the prepaid tokens do not cover the request");
+    } else if (outcome instanceof PrepaidBudgets.Outcome.HeldElsewhere) {
+      refuse(
+          Refusal.Kind.NOT_RUN,
+          HELD_ELSEWHERE_RETRY_AFTER_MILLIS,
+          "other daemons hold the tokens that are left");
     } else if (outcome instanceof PrepaidBudgets.Outcome.Unavailable u) {
       refuse(
           Refusal.Kind.NOT_RUN, STORE_RETRY_AFTER_MILLIS, "no tokens can be drawn: " + u.reason());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.core.forward.AccountTerms;
 
@@ -20,6 +21,19 @@
   /** Surplus is given back within a few seconds, so that other daemons find it. */
   public static final long REVIEW_INTERVAL_MILLIS = 2_000;
 
+  /** Part of the store's writes that the reviews of all daemons may take. */
+  public static final double REVIEW_WRITES_PART = 0.25;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /**
+   * A daemon that shares the budgets.
+   *
+   * @param host name of its host
+   * @param incarnation this run of the daemon
+   */
+  public record Identity(String host, String incarnation) {}
+
   /** Outcome of a reservation. */
   public sealed interface Outcome {
 
@@ -29,6 +43,9 @@
     /** The table confirmed just now that the budget does not cover the request. */
     record Exhausted() implements Outcome {}
 
+    /** Other daemons hold enough for the request and may give it back soon. */
+    record HeldElsewhere() implements Outcome {}
+
     /**
      * The table could not be asked.
      *
@@ -39,7 +56,9 @@
 
   private final TableService table;
   private final Scheduler scheduler;
-  private final String incarnation;
+  private final StoreClock clock;
+  private final Identity identity;
+  private final double writesPerSecond;
   private final IntSupplier daemons;
   private final DecisionLog log;
   private final Map<String, AccountBudget> budgets = new HashMap<>();
@@ -50,7 +69,9 @@
    *
    * @param table the platform's table
    * @param scheduler time and delayed tasks
-   * @param incarnation this run of the daemon
+   * @param clock time of the store
+   * @param identity this daemon
+   * @param writesPerSecond writes that the store takes from all daemons together
    * @param daemons number of daemons that share the budgets
    * @param log receives each change of what is held
    * @throws NullPointerException if an argument is null
@@ -58,12 +79,16 @@
   public PrepaidBudgets(
       TableService table,
       Scheduler scheduler,
-      String incarnation,
+      StoreClock clock,
+      Identity identity,
+      double writesPerSecond,
       IntSupplier daemons,
       DecisionLog log) {
     this.table = Objects.requireNonNull(table, "table");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
-    this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.identity = Objects.requireNonNull(identity, "identity");
+    this.writesPerSecond = writesPerSecond;
     this.daemons = Objects.requireNonNull(daemons, "daemons");
     this.log = Objects.requireNonNull(log, "log");
   }
@@ -120,7 +145,17 @@
 
   private AccountBudget budget(String account) {
     return budgets.computeIfAbsent(
-        account, a -> new AccountBudget(a, incarnation, table, scheduler, daemons, log));
+        account,
+        a ->
+            new AccountBudget(
+                a,
+                identity.host(),
+                identity.incarnation(),
+                table,
+                scheduler,
+                clock,
+                () -> reviewIntervalMillis() / 2,
+                log));
   }
 
   private void reviewAll() {
@@ -128,6 +163,13 @@
       return;
     }
     budgets.values().forEach(AccountBudget::review);
-    scheduler.schedule(REVIEW_INTERVAL_MILLIS, this::reviewAll);
+    scheduler.schedule(reviewIntervalMillis(), this::reviewAll);
+  }
+
+  /** Each review of an account may cost a write, so a large fleet reviews less often. */
+  private long reviewIntervalMillis() {
+    double writes = (double) budgets.size() * daemons.getAsInt();
+    double seconds = writes / (REVIEW_WRITES_PART * writesPerSecond);
+    return Math.max(REVIEW_INTERVAL_MILLIS, (long) (seconds * MILLIS_PER_SECOND));
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -1,56 +1,65 @@
 package org.hibiscusreel.core.budget;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Part of a client account's prepaid tokens that this daemon has drawn and may spend without
  * asking. A change whose outcome is not known yet counts against the daemon: an increase can't be
- * spent, and a decrease is gone. Not thread-safe.
+ * spent, a decrease is gone, and the lowest of the ceilings that may stand in the store holds. Not
+ * thread-safe.
  */
 public final class AccountAllotment {
 
   /**
    * Demand that is held ahead. Outages of the platform's store last up to nine seconds on the sites
-   * of today, and demand comes in lumps.
+   * of today; the rest covers demand that rises meanwhile.
    */
   public static final long HOLD_AHEAD_MILLIS = 12_000;
 
-  /** Largest recent requests that are held ahead at least. */
-  public static final int HOLD_REQUESTS = 2;
+  /**
+   * Demand that a ceiling allows beyond what is consumed, besides one request of typical size. An
+   * outage begins with the time in which the ceiling does not rise. What a dead daemon's ceiling
+   * allows and it did not consume is lost for the day.
+   */
+  private static final long CEILING_AHEAD_MILLIS = SpendingCeiling.STEADY_MILLIS;
 
   /**
-   * All daemons together hold at most one in this many of the undrawn tokens ahead, so that a
-   * budget that nears its end is not scattered over daemons that don't need it.
+   * Time for which a fresh run holds what its predecessor wanted, until it knows its own demand.
    */
-  public static final int SCATTER_DIVISOR = 2;
+  private static final long INHERITED_MILLIS = 6_000;
 
-  /** The largest request is forgotten by one part in so many with each smaller one. */
-  private static final int LARGEST_DECAY = 16;
+  /** Rise of a ceiling as a multiple of the mean demand, since demand comes in lumps. */
+  private static final double CEILING_RATE = 1.5;
 
-  private DemandForecast forecast; // since the first demand, null before
-  private long largest;
+  private final List<SpendingCeiling> ceilings = new ArrayList<>(List.of(SpendingCeiling.NONE));
+  private RequestDemand demand; // since the first demand, null before
   private long drawn;
   private long pending; // never positive
   private long spent;
   private long reserved;
   private long requests;
+  private long inheritedWanted;
+  private long inheritedUntil;
 
   /**
    * Reserves tokens.
    *
    * @param tokens most that a request can consume
    * @param nowMillis monotonic time in milliseconds
-   * @return false if the allotment does not hold them
+   * @param storeMillis time of the store in milliseconds, not later than the true one
+   * @return false if the allotment does not hold them or the ceiling forbids it
    */
-  public boolean tryReserve(long tokens, long nowMillis) {
-    if (tokens > free()) {
+  public boolean tryReserve(long tokens, long nowMillis, long storeMillis) {
+    if (tokens > free() || tokens > allowed(storeMillis)) {
       return false;
     }
     reserved += tokens;
-    if (forecast == null) {
+    if (demand == null) {
       // An account that was idle for long is not taken for one with little demand.
-      forecast = new DemandForecast(nowMillis);
+      demand = new RequestDemand(nowMillis);
     }
-    largest = Math.max(tokens, largest - largest / LARGEST_DECAY);
-    forecast.add(tokens, nowMillis);
+    demand.add(tokens, nowMillis);
     return true;
   }
 
@@ -72,7 +81,7 @@
   }
 
   /**
-   * Returns the tokens that can be reserved.
+   * Returns the tokens that are neither spent nor reserved.
    *
    * @return tokens, negative after a change that took more than was free
    */
@@ -81,57 +90,117 @@
   }
 
   /**
-   * Computes the change of the drawn tokens that serves the waiting requests and keeps the right
-   * amount ahead.
+   * Returns the tokens that the declared ceilings still allow to reserve.
+   *
+   * @param storeMillis time of the store in milliseconds, not later than the true one
+   * @return tokens, 0 or more
+   */
+  public long allowed(long storeMillis) {
+    long lowest = Long.MAX_VALUE;
+    for (SpendingCeiling c : ceilings) {
+      lowest = Math.min(lowest, c.at(storeMillis));
+    }
+    return Math.max(0, lowest - spent - reserved);
+  }
+
+  /**
+   * Returns the tokens that this daemon would like to hold unreserved.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return tokens
+   */
+  public long wanted(long nowMillis) {
+    long own = demand == null ? 0 : demand.during(HOLD_AHEAD_MILLIS, nowMillis);
+    return nowMillis < inheritedUntil ? Math.max(own, inheritedWanted) : own;
+  }
+
+  /**
+   * Returns the mean size of a request.
+   *
+   * @return tokens, 0 without requests
+   */
+  public double meanSize() {
+    return demand == null ? 0 : demand.meanSize();
+  }
+
+  /**
+   * Returns a ceiling to declare.
    *
-   * @param undrawn tokens of the budget that no daemon has drawn; negative if the budget was cut
    * @param waiting tokens that waiting requests need
-   * @param daemons number of daemons that share the budget
    * @param nowMillis monotonic time in milliseconds
-   * @return tokens to draw if positive, to give back if negative, or 0
+   * @param storeMillis time of the store in milliseconds, not later than the true one
+   * @return the ceiling
    */
-  public long wantedChange(long undrawn, long waiting, int daemons, long nowMillis) {
-    if (undrawn < 0) {
-      return -Math.max(0, free());
-    }
-    int holders = SCATTER_DIVISOR * Math.max(1, daemons);
-    double rate = forecast == null ? 0 : forecast.tokensPerMilli(nowMillis);
-    long ahead = Math.max(HOLD_REQUESTS * largest, (long) (rate * HOLD_AHEAD_MILLIS));
-    long target = Math.min(ahead, undrawn / holders);
-    long needed = waiting - free();
-    if (needed > 0 || AllotmentSizing.isLow(target, free())) {
-      return AllotmentSizing.draw(target, free(), needed, undrawn, holders);
+  public SpendingCeiling nextCeiling(long waiting, long nowMillis, long storeMillis) {
+    double rate = demand == null ? 0 : demand.tokensPerMilli(nowMillis);
+    long base = spent + reserved + waiting + headroom(nowMillis);
+    return new SpendingCeiling(base, rate * CEILING_RATE, storeMillis);
+  }
+
+  private long headroom(long nowMillis) {
+    if (demand == null) {
+      return 0;
     }
-    return -AllotmentSizing.surplus(target, free() - waiting);
+    return (long) (demand.typicalSize() + demand.tokensPerMilli(nowMillis) * CEILING_AHEAD_MILLIS);
   }
 
   /**
-   * Begins a change of the drawn tokens. Begun again before the outcome of an earlier change is
-   * known, the least that may be left counts.
+   * Tells whether a new ceiling should be declared, either because the present one leaves too
+   * little room or because it would leave too much unclaimed if this daemon died.
    *
-   * @param change tokens to draw if positive, to give back if negative
+   * @param waiting tokens that waiting requests need
+   * @param maxAgeMillis age of a ceiling that is replaced while there is demand, in milliseconds
+   * @param nowMillis monotonic time in milliseconds
+   * @param storeMillis time of the store in milliseconds, not later than the true one
+   * @return true to declare one
+   */
+  public boolean needsCeiling(long waiting, long maxAgeMillis, long nowMillis, long storeMillis) {
+    long headroom = headroom(nowMillis);
+    long usable = Math.min(allowed(storeMillis), Math.max(0, free()));
+    boolean isLow = waiting > allowed(storeMillis) || usable < Math.min(free(), headroom / 2);
+    boolean isOld = storeMillis - ceilings.get(0).sinceMillis() > maxAgeMillis;
+    return isLow || usable > 2 * headroom || (isOld && usable > 0);
+  }
+
+  /**
+   * Begins a change. Begun again before the outcome of an earlier change is known, the least that
+   * may be left counts.
+   *
+   * @param change tokens to draw if positive, to give back if negative, or 0
+   * @param ceiling ceiling that is declared with the change
    */
-  public void begin(long change) {
+  public void begin(long change, SpendingCeiling ceiling) {
     pending = Math.min(pending, change);
+    ceilings.add(ceiling);
   }
 
   /**
-   * Ends a change.
+   * Ends all changes with what the store holds now.
    *
-   * @param drawnInStore tokens drawn by this daemon as the store has them now
+   * @param drawnInStore tokens drawn by this daemon
+   * @param ceilingInStore ceiling that this daemon declared last
    */
-  public void resolve(long drawnInStore) {
+  public void resolve(long drawnInStore, SpendingCeiling ceilingInStore) {
     drawn = drawnInStore;
     pending = 0;
+    ceilings.clear();
+    ceilings.add(ceilingInStore);
   }
 
   /**
-   * Returns the tokens drawn by this daemon.
+   * Takes over the account of a run of this daemon that is dead. Its tokens can be used once they
+   * are confirmed by {@link #resolve}.
    *
-   * @return tokens as last confirmed
+   * @param spentAtMost tokens that it consumed at most
+   * @param requestsKnown requests that it had billed
+   * @param wantedLast tokens that it wanted to hold
+   * @param nowMillis monotonic time in milliseconds
    */
-  public long drawn() {
-    return drawn;
+  public void inherit(long spentAtMost, long requestsKnown, long wantedLast, long nowMillis) {
+    spent = spentAtMost;
+    requests = requestsKnown;
+    inheritedWanted = wantedLast;
+    inheritedUntil = nowMillis + INHERITED_MILLIS;
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -15,6 +15,7 @@
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.daemon.http.HttpCalls;
@@ -45,6 +46,7 @@
    * @param status where readiness and metrics are served
    * @param metrics further address for the metrics
    * @param graceMillis time from the request to stop until the process is killed
+   * @param storeWritesPerSecond writes that the store takes from all daemons together
    * @param forward settings of the forwarding
    */
   public record Settings(
@@ -54,6 +56,7 @@
       InetSocketAddress status,
       InetSocketAddress metrics,
       long graceMillis,
+      double storeWritesPerSecond,
       ForwardSettings forward) {}
 
   /**
@@ -61,6 +64,7 @@
    *
    * @param table the store's tables
    * @param feed changes of the store's tables
+   * @param clock time of the store
    * @param rows names and formats of the rows that others write
    * @param callerDialect how callers spell requests
    * @param upstreamDialect how upstreams read requests
@@ -68,6 +72,7 @@
   public record Ports(
       TableService table,
       ChangeFeed feed,
+      StoreClock clock,
       FleetFollower.Rows rows,
       CallerDialect callerDialect,
       UpstreamDialect upstreamDialect) {}
@@ -116,7 +121,13 @@
             new News());
     this.budgets =
         new PrepaidBudgets(
-            ports.table(), scheduler, settings.incarnation(), fleet::daemons, decisions);
+            ports.table(),
+            scheduler,
+            ports.clock(),
+            new PrepaidBudgets.Identity(settings.host(), settings.incarnation()),
+            settings.storeWritesPerSecond(),
+            fleet::daemons,
+            decisions);
     this.forwarder =
         new Forwarder(
             scheduler,
