Cap what ceilings leave unclaimed by the rest of the budget

Change: the ceilings of all daemons together allow at most a tenth of the tokens that are neither consumed nor reserved. The request log says what was charged, from which the cause was found.

Ruled out: not charging requests whose caller left before the first event; whether the platform counts them is not stated, so the charge stays.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -173,7 +173,11 @@
     }
     return isTakeOverDue()
         || allotment.needsCeiling(
-            waitingTokens(), maxCeilingAge.getAsLong(), scheduler.nowMillis(), clock.millis());
+            waitingTokens(),
+            AllotmentShare.unclaimed(view()),
+            maxCeilingAge.getAsLong(),
+            scheduler.nowMillis(),
+            clock.millis());
   }
 
   private boolean isTakeOverDue() {
@@ -187,15 +191,18 @@
     if (closing != null) {
       return -Math.max(0, allotment.free());
     }
+    return AllotmentShare.change(view(), allotment.meanSize(), allotment.free(), waitingTokens());
+  }
+
+  /** Returns what is known of the account, with the present figures of this host. */
+  private AllotmentShare.Account view() {
     long wanted = allotment.wanted(scheduler.nowMillis());
     AllotmentRows.TotalRow total = rows.total();
-    AllotmentShare.Account view =
-        new AllotmentShare.Account(
-            prepaid - total.drawn(),
-            prepaid - committedByAll(),
-            wanted,
-            total.wanted() - rows.holder().wanted() + wanted);
-    return AllotmentShare.change(view, allotment.meanSize(), allotment.free(), waitingTokens());
+    return new AllotmentShare.Account(
+        prepaid - total.drawn(),
+        prepaid - committedByAll(),
+        wanted,
+        total.wanted() - rows.holder().wanted() + wanted);
   }
 
   private long committed() {
@@ -349,7 +356,8 @@
             committed() + waitingTokens(),
             allotment.requests(),
             closing == null ? allotment.wanted(now) : 0,
-            allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+            allotment.nextCeiling(
+                waitingTokens(), AllotmentShare.unclaimed(view()), now, clock.millis()));
     allotment.begin(change, next.ceiling());
     var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, change, next));
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -285,24 +285,28 @@
   private void finish(String outcome, boolean wasServed) {
     ended = true;
     timer.cancel();
-    settle();
-    log(outcome);
+    log(outcome, settle());
     forwarder.onEnded(this, wasServed);
   }
 
-  /** Charges the prompt if an upstream may have read it, and the events that were delivered. */
-  private void settle() {
+  /**
+   * Charges the prompt if an upstream may have read it, and the events that were delivered.
+   *
+   * @return tokens charged
+   */
+  private long settle() {
     if (!reserved) {
-      return;
+      return 0;
     }
     reserved = false;
     PromptShape p = request.prompt().orElseThrow();
     long output = Math.min(p.maxOutputTokens(), eventsDelivered * service.tokensPerEvent());
     long used = promptRead || mayHaveRun ? p.promptTokens() + output : 0;
     forwarder.budgets().settle(account.orElseThrow().name(), p.worstCaseTokens(), used);
+    return used;
   }
 
-  private void log(String outcome) {
+  private void log(String outcome, long charged) {
     long now = forwarder.scheduler().nowMillis();
     Map<String, Object> fields = new LinkedHashMap<>();
     fields.put("id", request.id());
@@ -315,6 +319,8 @@
     fields.put("took_ms", now - arrivedAt);
     fields.put("first_ms", firstPieceAt == 0 ? -1 : firstPieceAt - arrivedAt);
     fields.put("events", eventsDelivered);
+    request.prompt().ifPresent(p -> fields.put("prompt_tokens", p.promptTokens()));
+    fields.put("charged_tokens", charged);
     fields.put("attempts", trail);
     fields.put("outcome", outcome);
     forwarder.log().record("request", fields);
