--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -173,11 +173,7 @@
     }
     return isTakeOverDue()
         || allotment.needsCeiling(
-            waitingTokens(),
-            AllotmentShare.unclaimed(view()),
-            maxCeilingAge.getAsLong(),
-            scheduler.nowMillis(),
-            clock.millis());
+            waitingTokens(), maxCeilingAge.getAsLong(), scheduler.nowMillis(), clock.millis());
   }
 
   private boolean isTakeOverDue() {
@@ -191,18 +187,15 @@
     if (closing != null) {
       return -Math.max(0, allotment.free());
     }
-    return AllotmentShare.change(view(), allotment.meanSize(), allotment.free(), waitingTokens());
-  }
-
-  /** Returns what is known of the account, with the present figures of this host. */
-  private AllotmentShare.Account view() {
     long wanted = allotment.wanted(scheduler.nowMillis());
     AllotmentRows.TotalRow total = rows.total();
-    return new AllotmentShare.Account(
-        prepaid - total.drawn(),
-        prepaid - committedByAll(),
-        wanted,
-        total.wanted() - rows.holder().wanted() + wanted);
+    AllotmentShare.Account view =
+        new AllotmentShare.Account(
+            prepaid - total.drawn(),
+            prepaid - committedByAll(),
+            wanted,
+            total.wanted() - rows.holder().wanted() + wanted);
+    return AllotmentShare.change(view, allotment.meanSize(), allotment.free(), waitingTokens());
   }
 
   private long committed() {
@@ -356,8 +349,7 @@
             committed() + waitingTokens(),
             allotment.requests(),
             closing == null ? allotment.wanted(now) : 0,
-            allotment.nextCeiling(
-                waitingTokens(), AllotmentShare.unclaimed(view()), now, clock.millis()));
+            allotment.nextCeiling(waitingTokens(), now, clock.millis()));
     allotment.begin(change, next.ceiling());
     var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, change, next));
   }
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -127,15 +127,13 @@
    * Returns a ceiling to declare.
    *
    * @param waiting tokens that waiting requests need
-   * @param unclaimed most that the ceiling may allow beyond what is spent, reserved or waiting
    * @param nowMillis monotonic time in milliseconds
    * @param storeMillis time of the store in milliseconds, not later than the true one
    * @return the ceiling
    */
-  public SpendingCeiling nextCeiling(
-      long waiting, long unclaimed, long nowMillis, long storeMillis) {
+  public SpendingCeiling nextCeiling(long waiting, long nowMillis, long storeMillis) {
     double rate = demand == null ? 0 : demand.tokensPerMilli(nowMillis);
-    long base = spent + reserved + waiting + Math.min(unclaimed, headroom(nowMillis));
+    long base = spent + reserved + waiting + headroom(nowMillis);
     return new SpendingCeiling(base, rate * CEILING_RATE, storeMillis);
   }
 
@@ -151,15 +149,13 @@
    * little room or because it would leave too much unclaimed if this daemon died.
    *
    * @param waiting tokens that waiting requests need
-   * @param unclaimed as for {@link #nextCeiling}
    * @param maxAgeMillis age of a ceiling that is replaced while there is demand, in milliseconds
    * @param nowMillis monotonic time in milliseconds
    * @param storeMillis time of the store in milliseconds, not later than the true one
    * @return true to declare one
    */
-  public boolean needsCeiling(
-      long waiting, long unclaimed, long maxAgeMillis, long nowMillis, long storeMillis) {
-    long headroom = Math.min(unclaimed, headroom(nowMillis));
+  public boolean needsCeiling(long waiting, long maxAgeMillis, long nowMillis, long storeMillis) {
+    long headroom = headroom(nowMillis);
     long usable = Math.min(allowed(storeMillis), Math.max(0, free()));
     boolean isLow = waiting > allowed(storeMillis) || usable < Math.min(free(), headroom / 2);
     boolean isOld = storeMillis - ceilings.get(0).sinceMillis() > maxAgeMillis;
--- a/core/src/main/java/org/hibiscusreel/core/budget/AllotmentShare.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AllotmentShare.java
@@ -14,13 +14,6 @@
    */
   public static final double HELD_PART = 0.85;
 
-  /**
-   * Part of the uncommitted tokens that the ceilings of all daemons together leave unclaimed, and
-   * that is lost if all processes die at once. A budget of which less than 97 in 100 is served
-   * counts as refused without reason, so this falls with the rest of the budget.
-   */
-  public static final double UNCLAIMED_PART = 0.1;
-
   /** Below this part of its target a daemon draws, so that a write serves several requests. */
   public static final double LOW_PART = 0.8;
 
@@ -51,25 +44,11 @@
     if (account.uncommitted() <= 0 || account.wanted() <= 0) {
       return 0;
     }
-    long share = share(account, HELD_PART);
+    double part = (double) account.wanted() / Math.max(account.wanted(), account.wantedByAll());
+    long share = (long) (account.uncommitted() * HELD_PART * part);
     return share < meanSize ? 0 : Math.min(account.wanted(), share);
   }
 
-  /**
-   * Returns the tokens that the ceiling of this daemon may allow beyond what is committed.
-   *
-   * @param account what is known of the account
-   * @return tokens
-   */
-  public static long unclaimed(Account account) {
-    return share(account, UNCLAIMED_PART);
-  }
-
-  private static long share(Account account, double part) {
-    long all = Math.max(1, Math.max(account.wanted(), account.wantedByAll()));
-    return (long) (Math.max(0, account.uncommitted()) * part * account.wanted() / all);
-  }
-
   /**
    * Computes the change of the drawn tokens.
    *
