Place prompts where all daemons together leave the shortest queue

A prompt goes where its first event is expected soonest, from what is queued there for all daemons and what it keeps; reading a shared beginning again counts one and a half times. Plain requests count those of all daemons.

Ruled out: polls of the upstreams' reports, which count requests, lag by some hundred milliseconds and are priced; gRPC for these reports, since a report is worth nothing after a second and a connection repeats what was lost.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -6,10 +6,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
+import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.ChangeFeed.Change;
 import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
@@ -47,6 +49,14 @@
       Function<Change, Optional<ForwardingTable>> configuration,
       Function<Change, Optional<UpstreamEntry>> upstream) {}
 
+  /**
+   * Row of one host.
+   *
+   * @param incarnation run of its daemon
+   * @param address IP number and port at which it receives load reports
+   */
+  public record HostRow(String incarnation, String address) {}
+
   /** Is told what changed. */
   public interface Listener {
 
@@ -63,12 +73,19 @@
      * @param ids their identities
      */
     void onUpstreamsGone(List<String> ids);
+
+    /**
+     * The other daemons are known anew.
+     *
+     * @param addresses addresses at which they receive load reports
+     */
+    void onPeers(List<String> addresses);
   }
 
   private final TableService table;
   private final Scheduler scheduler;
   private final String host;
-  private final String incarnation;
+  private final HostRow self;
   private final Rows rows;
   private final DecisionLog log;
   private final Listener listener;
@@ -87,7 +104,7 @@
    * @param table the store's tables
    * @param scheduler time and delayed tasks
    * @param host name of this host
-   * @param incarnation this run of the daemon
+   * @param self this run of the daemon
    * @param rows names and formats of the rows that others write
    * @param log receives each change of belief
    * @param listener is told what changed
@@ -98,14 +115,14 @@
       TableService table,
       Scheduler scheduler,
       String host,
-      String incarnation,
+      HostRow self,
       Rows rows,
       DecisionLog log,
       Listener listener) {
     this.table = Objects.requireNonNull(table, "table");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.host = Objects.requireNonNull(host, "host");
-    this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+    this.self = Objects.requireNonNull(self, "self");
     this.rows = Objects.requireNonNull(rows, "rows");
     this.log = Objects.requireNonNull(log, "log");
     this.listener = Objects.requireNonNull(listener, "listener");
@@ -171,7 +188,7 @@
     }
     var unused =
         table
-            .transact(List.of(Mutation.put(HOSTS + host, "\"" + incarnation + "\"")))
+            .transact(List.of(Mutation.put(HOSTS + host, Json.write(self))))
             .thenAccept(
                 w -> {
                   if (!(w instanceof WriteResult.Committed)) {
@@ -191,11 +208,22 @@
                 r -> {
                   if (r instanceof ReadResult.Rows rowsFound) {
                     daemons = Math.max(1, rowsFound.rows().size());
+                    listener.onPeers(otherAddresses(rowsFound.rows()));
                   }
                 });
     scheduler.schedule(COUNT_INTERVAL_MILLIS, this::count);
   }
 
+  private List<String> otherAddresses(List<Row> hosts) {
+    List<String> addresses = new ArrayList<>();
+    for (Row r : hosts) {
+      if (!r.key().equals(HOSTS + host)) {
+        addresses.add(Json.read(r.value(), HostRow.class).address());
+      }
+    }
+    return addresses;
+  }
+
   private void takeConfiguration(Change change) {
     Optional<ForwardingTable> read = rows.configuration().apply(change);
     if (read.isEmpty()) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -2,10 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import java.util.Optional;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
-import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLoad;
@@ -51,7 +49,7 @@
   private final Route route;
   private final UpstreamEntry upstream;
   private final UpstreamLoad load;
-  private final long promptTokens;
+  private final long tokensToRead;
   private final String resumedAfter;
   private final EventFramer framer = new EventFramer(this::onEvent);
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
@@ -69,14 +67,14 @@
       Owner owner,
       Route route,
       UpstreamEntry upstream,
-      Optional<PromptShape> prompt,
+      long tokensToRead,
       String resumedAfter) {
     this.forwarder = forwarder;
     this.owner = owner;
     this.route = route;
     this.upstream = upstream;
-    this.load = forwarder.load(upstream.id());
-    this.promptTokens = prompt.map(PromptShape::promptTokens).orElse(0L);
+    this.load = forwarder.loads().own(upstream.id());
+    this.tokensToRead = tokensToRead;
     this.resumedAfter = resumedAfter;
   }
 
@@ -85,7 +83,8 @@
   }
 
   void start(UpstreamTransport.Outgoing outgoing) {
-    load.onSent(promptTokens);
+    load.onSent(tokensToRead);
+    forwarder.loads().onChanged();
     lastNewsAt = forwarder.scheduler().nowMillis();
     exchange = forwarder.transport().send(upstream, outgoing, this);
     scheduleCheck();
@@ -188,12 +187,14 @@
     check.cancel();
     markRead();
     load.onEnded();
+    forwarder.loads().onChanged();
   }
 
   private void markRead() {
     if (!isRead) {
       isRead = true;
-      load.onRead(promptTokens);
+      load.onRead(tokensToRead);
+      forwarder.loads().onChanged();
     }
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -13,6 +13,7 @@
 import org.hibiscusreel.core.forward.AttemptPolicy;
 import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.Placement;
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
@@ -76,7 +77,7 @@
     this.request = request;
     this.caller = caller;
     String name = route.service(forwarder.random().getAsLong());
-    this.service = table.service(name).orElseGet(() -> new ForwardService(name, 0, 0, 0));
+    this.service = table.service(name).orElseGet(() -> new ForwardService(name, 0, 0, 0, 0));
     this.arrivedAt = forwarder.scheduler().nowMillis();
     this.callerDeadline = arrivedAt + request.deadlineMillis().orElse(route.timeoutMillis());
     this.endsAt = Math.min(callerDeadline, arrivedAt + route.timeoutMillis());
@@ -125,12 +126,12 @@
   }
 
   private void dispatch() {
-    Optional<UpstreamEntry> choice = forwarder.choose(service.name(), request.prompt(), tried);
+    Optional<Placement.Choice> choice = forwarder.choose(service.name(), request.prompt(), tried);
     if (choice.isEmpty()) {
       giveUp("no upstream of " + service.name() + " is left");
       return;
     }
-    UpstreamEntry upstream = choice.get();
+    UpstreamEntry upstream = choice.get().candidate().entry();
     tried.add(upstream.id());
     sent++;
     UpstreamTransport.Outgoing outgoing =
@@ -140,7 +141,12 @@
             millisLeft(),
             account.map(a -> a.priority().orElse(route.priority())).orElse(route.priority()),
             lastEvent);
-    attempt = new ForwardAttempt(forwarder, this, route, upstream, request.prompt(), lastEvent);
+    request
+        .prompt()
+        .ifPresent(p -> choice.get().candidate().load().memory().onSent(p, service.memoryTokens()));
+    attempt =
+        new ForwardAttempt(
+            forwarder, this, route, upstream, choice.get().tokensToRead(), lastEvent);
     attempt.start(outgoing);
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -12,11 +12,11 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.AccountTerms;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.Placement;
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
-import org.hibiscusreel.core.forward.UpstreamLoad;
 import org.hibiscusreel.core.retry.RetryBudget;
 
 /** Serves the requests of callers. Used only on the thread of the event loop. */
@@ -34,10 +34,10 @@
   private final FleetView fleet;
   private final UpstreamTransport transport;
   private final PrepaidBudgets budgets;
+  private final LoadExchange loads;
   private final ForwardSettings settings;
   private final DecisionLog log;
   private final LongSupplier random;
-  private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Set<ForwardTask> running = new HashSet<>();
   private long refused;
@@ -50,6 +50,7 @@
    * @param fleet what is believed of configuration and upstreams
    * @param transport sends requests to upstreams
    * @param budgets prepaid tokens
+   * @param loads loads of the upstreams
    * @param settings settings
    * @param log receives a line for each request
    * @param random source of random bits
@@ -60,6 +61,7 @@
       FleetView fleet,
       UpstreamTransport transport,
       PrepaidBudgets budgets,
+      LoadExchange loads,
       ForwardSettings settings,
       DecisionLog log,
       LongSupplier random) {
@@ -67,6 +69,7 @@
     this.fleet = Objects.requireNonNull(fleet, "fleet");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.budgets = Objects.requireNonNull(budgets, "budgets");
+    this.loads = Objects.requireNonNull(loads, "loads");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
@@ -183,29 +186,21 @@
     return refused;
   }
 
-  /**
-   * Forgets upstreams that are gone.
-   *
-   * @param ids identities of the upstreams
-   */
-  public void onUpstreamsGone(Iterable<String> ids) {
-    ids.forEach(loads::remove);
-  }
-
-  Optional<UpstreamEntry> choose(String service, Optional<PromptShape> prompt, Set<String> tried) {
+  Optional<Placement.Choice> choose(
+      String service, Optional<PromptShape> prompt, Set<String> tried) {
     long now = scheduler.nowMillis();
+    PeerLoads others = loads.others();
     List<Placement.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
       if (!tried.contains(e.id())) {
-        candidates.add(new Placement.Candidate(e, load(e.id())));
+        candidates.add(new Placement.Candidate(e, loads.own(e.id()), others.at(e.id())));
       }
     }
-    return Placement.choose(candidates, prompt, settings.failureDomain(), now, random)
-        .map(Placement.Candidate::entry);
+    return Placement.choose(candidates, prompt, settings.failureDomain(), now, random);
   }
 
-  UpstreamLoad load(String upstream) {
-    return loads.computeIfAbsent(upstream, u -> new UpstreamLoad());
+  LoadExchange loads() {
+    return loads;
   }
 
   RetryBudget retryBudget(String service) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -24,13 +24,14 @@
   private final ScriptedFeed feed = new ScriptedFeed();
   private final List<Long> versions = new ArrayList<>();
   private final List<String> gone = new ArrayList<>();
+  private final List<String> peers = new ArrayList<>();
   private final FleetFollower follower =
       new FleetFollower(
           feed,
           table,
           scheduler,
           "host",
-          "host.1",
+          new FleetFollower.HostRow("host.1", "127.0.0.1:7"),
           new FleetFollower.Rows(
               "configurations",
               "upstreams",
@@ -47,6 +48,11 @@
             public void onUpstreamsGone(List<String> ids) {
               gone.addAll(ids);
             }
+
+            @Override
+            public void onPeers(List<String> addresses) {
+              peers.addAll(addresses);
+            }
           });
 
   private static ForwardingTable configuration(long version) {
@@ -118,6 +124,9 @@
     assertThat(follower.isReady()).isTrue();
     assertThat(usable()).containsExactly("a", "b");
     assertThat(table.all("hosts//")).hasSize(1);
+    table.put("hosts//other", new FleetFollower.HostRow("other.1", "127.0.0.1:8"));
+    scheduler.run(FleetFollower.COUNT_INTERVAL_MILLIS);
+    assertThat(peers).contains("127.0.0.1:8").doesNotContain("127.0.0.1:7");
   }
 
   /** Guards against a configuration that goes back when a read lags behind. */
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -110,6 +110,7 @@
             this,
             this,
             budgets,
+            new LoadExchange(scheduler, new SilentLoads(), "d.1"),
             new ForwardSettings("here", 0.2, 50),
             (event, fields) -> lines.add(fields),
             () -> 0);
@@ -133,7 +134,7 @@
             7,
             new CallerLimits(1, 1, 1),
             List.of(route),
-            List.of(new ForwardService("s", 10, 4, 5)),
+            List.of(new ForwardService("s", 10, 4, 0, 5)),
             List.of(account),
             Map.of("key", ACCOUNT));
     budgets.onAccounts(current.accounts());
--- a/core/src/main/java/org/hibiscusreel/core/forward/Placement.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/Placement.java
@@ -7,29 +7,53 @@
 import org.hibiscusreel.core.membership.Rendezvous;
 
 /**
- * Chooses the upstream of a request. Prompts with the same beginning go to the same upstream on
- * every daemon, since reading a shared beginning again costs more than a short queue; an upstream
- * that holds clearly more requests than the others is passed over. Other requests go to the least
- * busy upstream, the own failure domain first.
+ * Chooses the upstream of a request. Answers a load of long prompts, many of which begin alike:
+ * each goes where its first event is expected soonest, from the prompts that upstreams still have
+ * to read for all daemons and the parts that they keep. Prompts with the same beginning prefer the
+ * same upstream on every daemon, since reading a beginning again delays the requests of others too.
+ * Other requests go to the least busy upstream, the own failure domain first.
  */
 public final class Placement {
 
   /**
-   * An upstream takes up to this many times the mean number of requests before a prompt goes to the
-   * next one in rank; bounded-load consistent hashing uses 1.25 to 2.
+   * Weight of a token that is read although another upstream keeps it. One read in vain delays the
+   * request itself, which counts anyway, and about every second time one that follows it.
    */
-  public static final double MAX_IMBALANCE = 1.5;
+  public static final double REREAD_WEIGHT = 0.5;
 
-  /** Requests that an upstream may always hold, so that small counts don't scatter prompts. */
-  public static final int FREE_REQUESTS = 3;
+  /**
+   * Tokens that an upstream could read in the time that one running request takes from each of its
+   * steps, for the length of a prompt of usual size.
+   */
+  public static final long TOKENS_PER_REQUEST = 100;
 
   /**
    * An upstream that may be chosen.
    *
    * @param entry what it says of itself
    * @param load what this daemon knows of it
+   * @param elsewhere what the other daemons say of it
+   */
+  public record Candidate(UpstreamEntry entry, UpstreamLoad load, PeerLoads.Load elsewhere) {
+
+    /** Returns the requests of all daemons at the upstream. */
+    int requests() {
+      return load.inFlight() + elsewhere.requests();
+    }
+
+    /** Returns the tokens of prompts that the upstream has still to read for all daemons. */
+    long unreadTokens() {
+      return load.unreadTokens() + elsewhere.unreadTokens();
+    }
+  }
+
+  /**
+   * The upstream that was chosen.
+   *
+   * @param candidate the upstream
+   * @param tokensToRead tokens of the prompt that it probably does not keep
    */
-  public record Candidate(UpstreamEntry entry, UpstreamLoad load) {}
+  public record Choice(Candidate candidate, long tokensToRead) {}
 
   private Placement() {}
 
@@ -43,7 +67,7 @@
    * @param random source of random bits
    * @return the choice, or empty without candidates
    */
-  public static Optional<Candidate> choose(
+  public static Optional<Choice> choose(
       List<Candidate> candidates,
       Optional<PromptShape> prompt,
       String failureDomain,
@@ -55,25 +79,42 @@
     if (pool.isEmpty()) {
       return Optional.empty();
     }
-    String key = prompt.map(PromptShape::sharedKey).orElse("");
-    return Optional.of(key.isEmpty() ? leastBusy(pool, failureDomain, random) : near(pool, key));
+    return Optional.of(
+        prompt
+            .map(p -> soonest(pool, p))
+            .orElseGet(() -> new Choice(leastBusy(pool, failureDomain, random), 0)));
+  }
+
+  private static Choice soonest(List<Candidate> pool, PromptShape prompt) {
+    List<Candidate> ranked = Rendezvous.rank(pool, c -> c.entry().id(), prompt.sharedKey());
+    Choice best = null;
+    double lowest = Double.MAX_VALUE;
+    for (Candidate c : ranked) {
+      // The first in rank gets this beginning from all daemons, so it keeps it most probably.
+      boolean isHome = best == null;
+      long kept = isHome ? prompt.sharedTokens() : c.load().memory().kept(prompt);
+      double cost = cost(c, prompt, kept);
+      if (cost < lowest) {
+        lowest = cost;
+        best = new Choice(c, Math.max(0, prompt.promptTokens() - kept));
+      }
+    }
+    return best;
   }
 
-  private static Candidate near(List<Candidate> pool, String key) {
-    double mean = pool.stream().mapToInt(c -> c.load().inFlight()).average().orElse(0);
-    double bound = Math.max(FREE_REQUESTS, mean * MAX_IMBALANCE);
-    List<Candidate> ranked = Rendezvous.rank(pool, c -> c.entry().id(), key);
-    return ranked.stream()
-        .filter(c -> c.load().inFlight() < bound)
-        .findFirst()
-        .orElse(ranked.get(0));
+  private static double cost(Candidate candidate, PromptShape prompt, long kept) {
+    return candidate.unreadTokens()
+        + (double) TOKENS_PER_REQUEST * candidate.requests()
+        + prompt.promptTokens()
+        - kept
+        + REREAD_WEIGHT * (prompt.sharedTokens() - kept);
   }
 
   private static Candidate leastBusy(
       List<Candidate> pool, String failureDomain, LongSupplier random) {
     int start = (int) Math.floorMod(random.getAsLong(), (long) pool.size());
     Comparator<Candidate> order =
-        Comparator.comparingInt((Candidate c) -> c.load().inFlight())
+        Comparator.comparingInt(Candidate::requests)
             .thenComparing(c -> !c.entry().failureDomain().equals(failureDomain));
     Candidate best = pool.get(start);
     for (int i = 1; i < pool.size(); i++) {
--- a/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
@@ -45,12 +45,21 @@
     return parts.get(Math.max(0, parts.size() - 2)).id();
   }
 
+  /**
+   * Returns the parts that other prompts share.
+   *
+   * @return all parts but the last one
+   */
+  public List<Part> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
+
   /**
    * Returns the length of the beginning that other prompts share.
    *
    * @return tokens, 0 if there is one part only
    */
   public long sharedTokens() {
-    return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToLong(Part::tokens).sum();
+    return sharedParts().stream().mapToLong(Part::tokens).sum();
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
@@ -12,6 +12,7 @@
   /** Longest time that a failing upstream is avoided; a restart takes some seconds. */
   public static final long MAX_SUSPENSION_MILLIS = 3_200;
 
+  private final PromptMemory memory = new PromptMemory();
   private int inFlight;
   private long unreadTokens;
   private int failures;
@@ -68,6 +69,15 @@
     return nowMillis < suspendedUntilMillis;
   }
 
+  /**
+   * Returns the parts of prompts that the upstream probably keeps.
+   *
+   * @return the memory, which changes with each request
+   */
+  public PromptMemory memory() {
+    return memory;
+  }
+
   /**
    * Returns the requests of this daemon at the upstream.
    *
--- /dev/null
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
@@ -0,0 +1,58 @@
+package org.hibiscusreel.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PeerLoadsTest {
+
+  private final PeerLoads loads = new PeerLoads();
+
+  private static LoadReport report(String sender, long sequence, LoadReport.Entry... entries) {
+    return new LoadReport(sender, sequence, List.of(entries));
+  }
+
+  private static LoadReport.Entry entry(String upstream, int requests, long tokens) {
+    return new LoadReport.Entry(upstream, requests, tokens);
+  }
+
+  @Test
+  void addsTheLoadsOfAllDaemons() {
+    loads.onReport(report("a", 1, entry("u", 2, 100), entry("v", 1, 10)), 0);
+    loads.onReport(report("b", 1, entry("u", 1, 50)), 0);
+    assertThat(loads.at("u")).isEqualTo(new PeerLoads.Load(3, 150));
+    assertThat(loads.at("v")).isEqualTo(new PeerLoads.Load(1, 10));
+    assertThat(loads.at("w")).isEqualTo(PeerLoads.Load.NONE);
+    assertThat(loads.senders()).isEqualTo(2);
+  }
+
+  @Test
+  void replacesTheReportBefore() {
+    loads.onReport(report("a", 1, entry("u", 2, 100)), 0);
+    loads.onReport(report("a", 2, entry("v", 1, 10)), 0);
+    assertThat(loads.at("u")).isEqualTo(PeerLoads.Load.NONE);
+    assertThat(loads.at("v").requests()).isEqualTo(1);
+  }
+
+  /** Guards against datagrams that overtake each other or come twice. */
+  @Test
+  void ignoresReportsThatWereOvertaken() {
+    loads.onReport(report("a", 2, entry("u", 2, 100)), 0);
+    loads.onReport(report("a", 1, entry("u", 9, 900)), 0);
+    loads.onReport(report("a", 2, entry("u", 9, 900)), 0);
+    assertThat(loads.at("u")).isEqualTo(new PeerLoads.Load(2, 100));
+  }
+
+  /** Guards against the load of a dead or partitioned daemon that keeps requests away for good. */
+  @Test
+  void forgetsDaemonsThatFellSilent() {
+    loads.onReport(report("a", 1, entry("u", 2, 100)), 0);
+    loads.onReport(report("b", 1, entry("u", 1, 50)), 1_000);
+    loads.expire(PeerLoads.MAX_AGE_MILLIS);
+    assertThat(loads.at("u").requests()).isEqualTo(3);
+    loads.expire(PeerLoads.MAX_AGE_MILLIS + 1);
+    assertThat(loads.at("u")).isEqualTo(new PeerLoads.Load(1, 50));
+    assertThat(loads.senders()).isEqualTo(1);
+  }
+}
--- a/core/src/test/java/org/hibiscusreel/core/forward/PlacementTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PlacementTest.java
@@ -22,7 +22,9 @@
       String domain = i % 2 == 0 ? "here" : "there";
       list.add(
           new Placement.Candidate(
-              new UpstreamEntry("u" + i, "s", "a:" + i, domain, false, 4, 0), new UpstreamLoad()));
+              new UpstreamEntry("u" + i, "s", "a:" + i, domain, false, 4, 0),
+              new UpstreamLoad(),
+              PeerLoads.Load.NONE));
     }
     return list;
   }
@@ -34,7 +36,9 @@
 
   private Placement.Candidate choose(
       List<Placement.Candidate> candidates, Optional<PromptShape> prompt) {
-    return Placement.choose(candidates, prompt, "here", 0, random::nextLong).orElseThrow();
+    return Placement.choose(candidates, prompt, "here", 0, random::nextLong)
+        .orElseThrow()
+        .candidate();
   }
 
   @Test
@@ -81,6 +85,50 @@
         .allSatisfy(n -> assertThat(n.doubleValue()).isLessThan(mean * 1.5 + 1));
   }
 
+  private static void setElsewhere(List<Placement.Candidate> list, int i, PeerLoads.Load load) {
+    list.set(i, new Placement.Candidate(list.get(i).entry(), list.get(i).load(), load));
+  }
+
+  /** Guards against a queue of long prompts of other daemons while the next upstream is idle. */
+  @Test
+  void leavesTheHomeOfBeginningWhereOthersWaitForLongPrompts() {
+    List<Placement.Candidate> list = candidates(4);
+    Optional<PromptShape> p = Optional.of(prompt("hot"));
+    int home = list.indexOf(choose(list, p));
+    setElsewhere(list, home, new PeerLoads.Load(1, 1_200));
+    assertThat(list.indexOf(choose(list, p))).isEqualTo(home);
+    setElsewhere(list, home, new PeerLoads.Load(1, 1_300));
+    assertThat(list.indexOf(choose(list, p))).isNotEqualTo(home);
+  }
+
+  /** Guards against a beginning that moves on to a third upstream although a second keeps it. */
+  @Test
+  void prefersAnUpstreamThatKeepsTheBeginning() {
+    List<Placement.Candidate> list = candidates(4);
+    Optional<PromptShape> p = Optional.of(prompt("hot"));
+    int home = list.indexOf(choose(list, p));
+    int second = (home + 1) % list.size();
+    list.get(second).load().memory().onSent(p.get(), 100_000);
+    setElsewhere(list, home, new PeerLoads.Load(1, 5_000));
+    assertThat(list.indexOf(choose(list, p))).isEqualTo(second);
+  }
+
+  @Test
+  void tellsHowMuchOfThePromptIsRead() {
+    List<Placement.Candidate> list = candidates(1);
+    Placement.Choice c =
+        Placement.choose(list, Optional.of(prompt("x")), "here", 0, () -> 0).orElseThrow();
+    assertThat(c.tokensToRead()).isEqualTo(100);
+  }
+
+  /** Guards against plain requests that queue where another daemon is busy. */
+  @Test
+  void countsThePlainRequestsOfOtherDaemons() {
+    List<Placement.Candidate> list = candidates(2);
+    setElsewhere(list, 0, new PeerLoads.Load(2, 0));
+    assertThat(choose(list, Optional.empty())).isSameAs(list.get(1));
+  }
+
   @Test
   void sendsPlainRequestsToTheLeastBusyUpstreamOfItsOwnFailureDomainFirst() {
     List<Placement.Candidate> list = candidates(4);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -12,6 +12,7 @@
 import org.hibiscusreel.coordination.forward.FleetFollower;
 import org.hibiscusreel.coordination.forward.ForwardSettings;
 import org.hibiscusreel.coordination.forward.Forwarder;
+import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -45,6 +46,7 @@
    * @param callers where callers are served
    * @param status where readiness and metrics are served
    * @param metrics further address for the metrics
+   * @param peers where load reports of other daemons are received
    * @param graceMillis time from the request to stop until the process is killed
    * @param storeWritesPerSecond writes that the store takes from all daemons together
    * @param forward settings of the forwarding
@@ -55,6 +57,7 @@
       InetSocketAddress callers,
       InetSocketAddress status,
       InetSocketAddress metrics,
+      InetSocketAddress peers,
       long graceMillis,
       double storeWritesPerSecond,
       ForwardSettings forward) {}
@@ -82,6 +85,8 @@
   private final JsonDecisionLog log;
   private final FleetFollower fleet;
   private final PrepaidBudgets budgets;
+  private final UdpLoadTransport loadTransport;
+  private final LoadExchange loads;
   private final Forwarder forwarder;
   private final ForwardServer server;
   private final StatusServer status;
@@ -115,7 +120,7 @@
             ports.table(),
             scheduler,
             settings.host(),
-            settings.incarnation(),
+            new FleetFollower.HostRow(settings.incarnation(), toText(settings.peers())),
             ports.rows(),
             decisions,
             new News());
@@ -128,6 +133,8 @@
             settings.storeWritesPerSecond(),
             fleet::daemons,
             decisions);
+    this.loadTransport = new UdpLoadTransport(reactor, settings.peers());
+    this.loads = new LoadExchange(scheduler, loadTransport, settings.incarnation());
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -135,6 +142,7 @@
             new HttpUpstreamTransport(
                 new HttpCalls(reactor, false, CONNECT_TIMEOUT), ports.upstreamDialect()),
             budgets,
+            loads,
             settings.forward(),
             decisions,
             ThreadLocalRandom.current()::nextLong);
@@ -147,9 +155,14 @@
     decisions.register("requests.refused", forwarder::refused);
     decisions.register("callers.connections", server::connectionCount);
     decisions.register("upstreams.age_ms", fleet::newsAgeMillis);
+    decisions.register("peers.reporting", loads::reporting);
     decisions.register("log.dropped", log::dropped);
   }
 
+  private static String toText(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
   /**
    * Starts to serve.
    *
@@ -163,6 +176,8 @@
     status.start();
     metrics.start();
     server.start();
+    loadTransport.start();
+    loads.start();
     fleet.start();
     budgets.start();
   }
@@ -204,6 +219,8 @@
       return;
     }
     fleet.stop();
+    loads.stop();
+    loadTransport.stop();
     decisions.record("stopped", Map.of("unfinished", forwarder.inProgress()));
     var unused = budgets.stop().thenAccept(v -> end());
   }
@@ -222,7 +239,12 @@
 
     @Override
     public void onUpstreamsGone(List<String> ids) {
-      forwarder.onUpstreamsGone(ids);
+      loads.onUpstreamsGone(ids);
+    }
+
+    @Override
+    public void onPeers(List<String> addresses) {
+      loads.onPeers(addresses);
     }
   }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -24,6 +24,7 @@
 import org.hibiscusreel.coordination.forward.ForwardSettings;
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.HeaderField;
+import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
@@ -103,7 +104,7 @@
             1,
             new CallerLimits(1, 1, 1),
             List.of(route("/stream/", true), route("/plain/", false)),
-            List.of(new ForwardService("s", 1, 1, 1)),
+            List.of(new ForwardService("s", 1, 1, 0, 1)),
             List.of(new AccountTerms("a", OptionalInt.empty(), OptionalLong.empty())),
             Map.of("key", "a"));
 
@@ -170,6 +171,12 @@
                   new HttpUpstreamTransport(
                       new HttpCalls(loop.eventloop(), false, Duration.ofMillis(500)), dialect),
                   budgets,
+                  new LoadExchange(
+                      scheduler,
+                      new UdpLoadTransport(
+                          loop.eventloop(),
+                          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
+                      "d.1"),
                   new ForwardSettings("d", 0.2, 10),
                   (e, f) -> {},
                   () -> 0);
--- /dev/null
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -0,0 +1,87 @@
+package org.hibiscusreel.daemon.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.hibiscusreel.core.forward.LoadReport;
+import org.hibiscusreel.daemon.loop.TestLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class UdpLoadTransportTest {
+
+  private static final LoadReport REPORT =
+      new LoadReport("a.1", 7, List.of(new LoadReport.Entry("u", 2, 900)));
+
+  private final TestLoop loop = new TestLoop();
+  private final InetSocketAddress first = freeAddress();
+  private final InetSocketAddress second = freeAddress();
+  private final UdpLoadTransport sender = new UdpLoadTransport(loop.eventloop(), first);
+  private final UdpLoadTransport receiver = new UdpLoadTransport(loop.eventloop(), second);
+  private final BlockingQueue<LoadReport> received = new LinkedBlockingQueue<>();
+
+  private static InetSocketAddress freeAddress() {
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(s.getLocalAddress(), s.getLocalPort());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void start() {
+    loop.run(
+        () -> {
+          try {
+            sender.start();
+            receiver.start();
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+    loop.run(() -> receiver.receive(received::add));
+  }
+
+  @AfterEach
+  void stop() {
+    loop.run(
+        () -> {
+          sender.stop();
+          receiver.stop();
+        });
+    loop.close();
+  }
+
+  private LoadReport next() throws InterruptedException {
+    return received.poll(5, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void carriesReports() throws InterruptedException {
+    start();
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+
+  /** Guards against a daemon that stops listening after a datagram that is no report. */
+  @Test
+  void goesOnAfterDatagramsThatCannotBeRead() throws Exception {
+    start();
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      byte[] garbage = {1, 2, 3};
+      s.send(new DatagramPacket(garbage, garbage.length, second));
+    }
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+}
