Hold what the earlier run of the host needed before the first request

Change: the row of a host keeps the demand of its last run, also after a graceful stop; a fresh run takes over every account of the configuration at its start and holds that amount until it knows its own demand.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -98,9 +98,11 @@
     if (tokens == prepaid) {
       return;
     }
-    boolean cut = tokens < prepaid;
+    boolean isNew = prepaid == 0;
+    boolean isCut = tokens < prepaid;
     prepaid = tokens;
-    if (cut) {
+    // A new budget takes over what an earlier run held before its first request needs it.
+    if (isNew || isCut) {
       review();
     }
   }
@@ -309,7 +311,7 @@
     } else if (!isOwner && holder.drawn() > 0) {
       boolean isTimeKnown = clock.millis() > 0;
       long spent = isTimeKnown ? holder.spentAtMost(clock.millis()) : holder.drawn();
-      allotment.inherit(spent, holder.requests(), holder.wanted(), scheduler.nowMillis());
+      allotment.inherit(spent, holder.requests(), holder.forecast(), scheduler.nowMillis());
     }
     if (!outcomeOpen || changed) {
       outcomeOpen = false;
@@ -341,6 +343,7 @@
   private void transact(long change) {
     busy = true;
     long now = scheduler.nowMillis();
+    long wanted = allotment.wanted(now);
     AllotmentRows.HolderRow next =
         new AllotmentRows.HolderRow(
             incarnation,
@@ -348,7 +351,8 @@
             allotment.spent(),
             committed() + waitingTokens(),
             allotment.requests(),
-            closing == null ? allotment.wanted(now) : 0,
+            closing == null ? wanted : 0,
+            wanted,
             allotment.nextCeiling(waitingTokens(), now, clock.millis()));
     allotment.begin(change, next.ceiling());
     var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, change, next));
@@ -358,13 +362,16 @@
     busy = false;
     log(result, change, next);
     if (result instanceof WriteResult.Committed c) {
+      final boolean isTakenOver = isTakeOverDue();
       rows.onCommitted(next, c.versions());
       isOwner = true;
       outcomeOpen = false;
       resolve();
       onRowsRead();
       serveWaiters();
-      reviewUnlessDone();
+      if (isTakenOver || !waiters.isEmpty() || closing != null) {
+        review();
+      }
     } else if (result instanceof WriteResult.Conflict c) {
       takeRows(c.rows());
       review();
@@ -394,13 +401,6 @@
     log.record("allotment", fields);
   }
 
-  private void reviewUnlessDone() {
-    if (waiters.isEmpty() && closing == null) {
-      return;
-    }
-    review();
-  }
-
   private void onFailure(String reason) {
     failure = reason;
     refuseWaiters(new Outcome.Unavailable(reason));
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
@@ -44,7 +44,8 @@
    * @param spent tokens of the drawn ones that were consumed
    * @param committed tokens of the drawn ones that were consumed or are reserved
    * @param requests requests billed
-   * @param wanted tokens that the host would like to hold
+   * @param wanted tokens that the host would like to hold, 0 once it stopped
+   * @param forecast tokens that a successor would like to hold at first
    * @param ceiling bound on what this run consumes
    */
   record HolderRow(
@@ -54,9 +55,10 @@
       long committed,
       long requests,
       long wanted,
+      long forecast,
       SpendingCeiling ceiling) {
 
-    static final HolderRow EMPTY = new HolderRow("", 0, 0, 0, 0, 0, SpendingCeiling.NONE);
+    static final HolderRow EMPTY = new HolderRow("", 0, 0, 0, 0, 0, 0, SpendingCeiling.NONE);
 
     /** Returns the tokens that the run consumed at most if it was dead at a time of the store. */
     long spentAtMost(long storeMillis) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -238,6 +238,29 @@
     assertThat(served).isLessThanOrEqualTo(100_000L);
   }
 
+  /** Guards against a restart right before an outage, which left the fresh run without tokens. */
+  @Test
+  void holdsWhatItsPredecessorNeededBeforeTheFirstRequest() {
+    PrepaidBudgets stopped = daemon("a", "a.1", 1, 100_000);
+    for (int i = 0; i < 10; i++) {
+      assertThat(reserve(stopped, 1_000)).isInstanceOf(Outcome.Reserved.class);
+      stopped.settle(ACCOUNT, 1_000, 1_000);
+    }
+    var end = stopped.stop();
+    scheduler.run(100);
+    assertThat(end).isCompleted();
+    assertThat(drawnByAll()).isEqualTo(10_000);
+    PrepaidBudgets fresh = daemon("a", "a.2", 1, 100_000);
+    scheduler.run(500);
+    table.isDown = true;
+    for (int i = 0; i < 8; i++) {
+      var outcome = fresh.reserve(ACCOUNT, 1_000, TIMEOUT_MILLIS);
+      assertThat(outcome).isCompletedWithValueMatching(o -> o instanceof Outcome.Reserved);
+      fresh.settle(ACCOUNT, 1_000, 1_000);
+      scheduler.run(1_000);
+    }
+  }
+
   /** Guards against refusals that name an outage which ended long ago. */
   @Test
   void drawsAgainAfterAnOutageDuringWhichNothingWasNeeded() {
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -27,11 +27,17 @@
   /**
    * Time for which a fresh run holds what its predecessor wanted, until it knows its own demand.
    */
-  private static final long INHERITED_MILLIS = 6_000;
+  private static final long INHERITED_MILLIS = HOLD_AHEAD_MILLIS;
 
   /** Rise of a ceiling as a multiple of the mean demand, since demand comes in lumps. */
   private static final double CEILING_RATE = 1.5;
 
+  /**
+   * Part of the inherited tokens that a ceiling allows at first: a third is the mean demand of the
+   * steady time, the rest covers a request of typical size.
+   */
+  private static final double INHERITED_HEADROOM = 0.5;
+
   private final List<SpendingCeiling> ceilings = new ArrayList<>(List.of(SpendingCeiling.NONE));
   private RequestDemand demand; // since the first demand, null before
   private long drawn;
@@ -111,7 +117,11 @@
    */
   public long wanted(long nowMillis) {
     long own = demand == null ? 0 : demand.during(HOLD_AHEAD_MILLIS, nowMillis);
-    return nowMillis < inheritedUntil ? Math.max(own, inheritedWanted) : own;
+    return Math.max(own, inherited(nowMillis));
+  }
+
+  private long inherited(long nowMillis) {
+    return nowMillis < inheritedUntil ? inheritedWanted : 0;
   }
 
   /**
@@ -132,16 +142,19 @@
    * @return the ceiling
    */
   public SpendingCeiling nextCeiling(long waiting, long nowMillis, long storeMillis) {
-    double rate = demand == null ? 0 : demand.tokensPerMilli(nowMillis);
+    double own = demand == null ? 0 : demand.tokensPerMilli(nowMillis);
+    double rate = Math.max(own, (double) inherited(nowMillis) / HOLD_AHEAD_MILLIS);
     long base = spent + reserved + waiting + headroom(nowMillis);
     return new SpendingCeiling(base, rate * CEILING_RATE, storeMillis);
   }
 
   private long headroom(long nowMillis) {
+    long first = (long) (inherited(nowMillis) * INHERITED_HEADROOM);
     if (demand == null) {
-      return 0;
+      return first;
     }
-    return (long) (demand.typicalSize() + demand.tokensPerMilli(nowMillis) * CEILING_AHEAD_MILLIS);
+    double ahead = demand.tokensPerMilli(nowMillis) * CEILING_AHEAD_MILLIS;
+    return Math.max(first, (long) (demand.typicalSize() + ahead));
   }
 
   /**
