--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -273,7 +273,7 @@
   }
 
   /**
-   * Reads the row of the account before that of the incarnation. In this order a late transaction
+   * Reads the row of the account before that of the host. In this order a late transaction
    * that takes effect between the two reads shows in the second one.
    */
   private void readRows() {
