--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -273,8 +273,8 @@
   }
 
   /**
-   * Reads the row of the account before that of the host. In this order a late transaction
-   * that takes effect between the two reads shows in the second one.
+   * Reads the row of the account before that of the host. In this order a late transaction that
+   * takes effect between the two reads shows in the second one.
    */
   private void readRows() {
     busy = true;
