Log how old the configuration is, why polls fail and when readiness changes

The log had only the first failure of an outage. Each failed poll or full read now writes a line with its duration and reason; requests and metrics carry the version and age of the configuration; a change of readiness is a line of its own.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -44,6 +44,7 @@
   private boolean isStoreUnavailable;
   private boolean stopped;
   private long lastResponseAtMillis;
+  private long knownAsOfMillis;
 
   FeedFollower(
       ChangeFeed feed, String table, Scheduler scheduler, DecisionLog log, Listener listener) {
@@ -56,6 +57,7 @@
 
   void start() {
     lastResponseAtMillis = scheduler.nowMillis();
+    knownAsOfMillis = lastResponseAtMillis;
     next();
   }
 
@@ -68,21 +70,30 @@
     return scheduler.nowMillis() - lastResponseAtMillis;
   }
 
+  /**
+   * Returns the age of what is known of the table, in milliseconds: all changes before that time
+   * were received.
+   */
+  long knowledgeAgeMillis() {
+    return scheduler.nowMillis() - knownAsOfMillis;
+  }
+
   private void next() {
     if (stopped) {
       return;
     }
+    long startedAt = scheduler.nowMillis();
     var call =
         needsFullRead ? feed.readAll(table) : feed.poll(table, position, POLL_TIMEOUT_MILLIS);
-    var unused = call.thenAccept(this::onResult);
+    var unused = call.thenAccept(r -> onResult(r, startedAt));
   }
 
-  private void onResult(ChangeFeed.Result result) {
+  private void onResult(ChangeFeed.Result result, long startedAt) {
     if (stopped) {
       return;
     }
     if (result instanceof ChangeFeed.Result.Failed f) {
-      onFailed(f.reason());
+      onFailed(f.reason(), startedAt);
       return;
     }
     onResponse();
@@ -91,17 +102,18 @@
       log.record("history_lost", Map.of("table", table, "position", position));
       next();
     } else if (result instanceof ChangeFeed.Result.Changes c) {
-      onRows(c);
+      onRows(c, startedAt);
     }
   }
 
-  private void onRows(ChangeFeed.Result.Changes c) {
+  private void onRows(ChangeFeed.Result.Changes c, long startedAt) {
     if (needsFullRead && c.position() < position) {
       // A stale read would revert changes that were already applied.
       scheduler.schedule(RETRY_DELAY_MILLIS, this::next);
       return;
     }
     position = Math.max(position, c.position());
+    knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(c, startedAt));
     if (needsFullRead) {
       needsFullRead = false;
       listener.onFullRead(c.changes());
@@ -120,7 +132,27 @@
     }
   }
 
-  private void onFailed(String reason) {
+  /** Returns the earliest time at which the store can have given this answer to a poll or read. */
+  private long answeredAtEarliest(ChangeFeed.Result.Changes c, long startedAt) {
+    boolean waitedInVain =
+        !needsFullRead
+            && c.changes().isEmpty()
+            && scheduler.nowMillis() - startedAt >= POLL_TIMEOUT_MILLIS;
+    return waitedInVain ? startedAt + POLL_TIMEOUT_MILLIS : startedAt;
+  }
+
+  private void onFailed(String reason, long startedAt) {
+    log.record(
+        "store_call_failed",
+        Map.of(
+            "table",
+            table,
+            "took_ms",
+            scheduler.nowMillis() - startedAt,
+            "age_ms",
+            knowledgeAgeMillis(),
+            "reason",
+            reason));
     if (!isStoreUnavailable) {
       isStoreUnavailable = true;
       log.record("store_lost", Map.of("table", table, "age_ms", ageMillis(), "reason", reason));
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -174,6 +174,11 @@
     return upstreamsKnown ? Optional.ofNullable(current) : Optional.empty();
   }
 
+  @Override
+  public long configurationAgeMillis() {
+    return configurations.knowledgeAgeMillis();
+  }
+
   @Override
   public UpstreamCatalog upstreams() {
     return upstreams;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
@@ -14,6 +14,13 @@
    */
   Optional<ForwardingTable> table();
 
+  /**
+   * Returns the age of what is known of the configuration.
+   *
+   * @return milliseconds since the time before which all changes are known
+   */
+  long configurationAgeMillis();
+
   /**
    * Returns the upstreams.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -341,6 +341,7 @@
     fields.put("service", service.name());
     fields.put("account", account.map(AccountSettings::name).orElse(""));
     fields.put("version", table.version());
+    fields.put("configuration_age_ms", forwarder.fleet().configurationAgeMillis());
     fields.put("upstreams_age_ms", forwarder.fleet().upstreamDataAgeMillis());
     fields.put("deadline_ms", callerDeadlineAtMillis - arrivalMillis);
     fields.put("took_ms", now - arrivalMillis);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -155,6 +155,8 @@
             request.path(),
             "version",
             table.map(ForwardingTable::version).orElse(0L),
+            "configuration_age_ms",
+            fleet.configurationAgeMillis(),
             "outcome",
             refusal.kind().name(),
             "reason",
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,7 @@
   private final List<Long> versions = new ArrayList<>();
   private final List<String> removedUpstreams = new ArrayList<>();
   private final List<String> peers = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
   private final FleetFollower follower =
       new FleetFollower(
           feed,
@@ -37,7 +39,7 @@
               "upstreams",
               c -> c.value().map(v -> configuration(Long.parseLong(v))),
               FleetFollowerTest::upstream),
-          (e, f) -> {},
+          (e, f) -> log.add(e + " " + f.get("table")),
           new FleetFollower.Listener() {
             @Override
             public void onConfiguration(ForwardingTable t) {
@@ -164,6 +166,24 @@
     assertThat(removedUpstreams).containsExactly("b");
   }
 
+  @Test
+  void recordsEachFailedCallAndTheAgeOfTheConfiguration() {
+    start();
+    scheduler.run(5 * FeedFollower.POLL_TIMEOUT_MILLIS);
+    assertThat(follower.configurationAgeMillis()).isLessThan(FeedFollower.POLL_TIMEOUT_MILLIS);
+    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
+    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
+    scheduler.run(2 * FeedFollower.POLL_TIMEOUT_MILLIS);
+    assertThat(log).filteredOn(line -> line.equals("store_call_failed configurations")).hasSize(2);
+    feed.polls.values().forEach(polls -> polls.addAll(failures(20)));
+    scheduler.run(2_500);
+    assertThat(follower.configurationAgeMillis()).isGreaterThan(2_000);
+  }
+
+  private static List<ChangeFeed.Result> failures(int count) {
+    return Collections.nCopies(count, new ChangeFeed.Result.Failed("down"));
+  }
+
   /** Guards against losing all upstreams whose entries expired while the store was unavailable. */
   @Test
   void keepsExpiredUpstreamsBrieflyAfterTheStoreIsAvailableAgain() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -41,6 +41,7 @@
   Refusal refusal;
   boolean callerAcceptsMore = true;
   ForwardingTable current;
+  long configurationAgeMillis;
 
   /** A request that was passed to the transport. */
   static final class Sent implements Exchange {
@@ -206,6 +207,11 @@
     return upstreams;
   }
 
+  @Override
+  public long configurationAgeMillis() {
+    return configurationAgeMillis;
+  }
+
   @Override
   public long upstreamDataAgeMillis() {
     return 0;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -102,6 +102,7 @@
   private final StatusServer metrics;
   private final DecisionMetrics decisions;
   private CompletableFuture<Void> stopping;
+  private boolean wasReady;
 
   /**
    * Creates a daemon that is not started yet.
@@ -163,6 +164,8 @@
     decisions.register("requests.served", forwarder::served);
     decisions.register("requests.refused", forwarder::refused);
     decisions.register("callers.connections", server::connectionCount);
+    decisions.register("configuration.version", this::configurationVersion);
+    decisions.register("configuration.age_ms", fleet::configurationAgeMillis);
     decisions.register("upstreams.age_ms", fleet::upstreamDataAgeMillis);
     decisions.register("peers.reporting", loadExchange::reportingPeerCount);
     decisions.register("log.dropped", log::dropped);
@@ -197,7 +200,26 @@
   }
 
   private boolean isReady() {
-    return stopping == null && fleet.isReady();
+    boolean isReady = stopping == null && fleet.isReady();
+    if (isReady != wasReady) {
+      wasReady = isReady;
+      decisions.record(
+          "readiness",
+          Map.of(
+              "ready",
+              isReady,
+              "version",
+              configurationVersion(),
+              "configuration_age_ms",
+              fleet.configurationAgeMillis(),
+              "upstreams_age_ms",
+              fleet.upstreamDataAgeMillis()));
+    }
+    return isReady;
+  }
+
+  private long configurationVersion() {
+    return fleet.table().map(ForwardingTable::version).orElse(0L);
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -107,8 +107,12 @@
         reactor.delayBackground(
             Math.max(1, timeoutMillis),
             () -> {
+              String reason =
+                  exchange.response().isResult()
+                      ? "the answer was incomplete after " + timeoutMillis + " ms"
+                      : "no answer within " + timeoutMillis + " ms";
               exchange.abort();
-              future.complete(exchange.toFailure("no answer within " + timeoutMillis + " ms"));
+              future.complete(exchange.toFailure(reason));
             });
     exchange
         .response()
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -140,6 +140,11 @@
       return catalog;
     }
 
+    @Override
+    public long configurationAgeMillis() {
+      return 0;
+    }
+
     @Override
     public long upstreamDataAgeMillis() {
       return 0;
