--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -23,6 +23,8 @@
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpUpstreamTransportTest {
 
@@ -224,6 +226,53 @@
     }
   }
 
+  /** Guards against memory that grows with bytes that never become the head of a response. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "x",
+        "HTTP/1.1 200 OK\r\nOwn: y|e",
+        "HTTP/1.1 200 OK\r\n|Own: yes\r\n",
+        "|HTTP/1.1 100 Continue\r\n\r\n"
+      })
+  void endsResponseWhoseHeadHasNoEnd(String headAndRepetition) throws Exception {
+    assertThat(receivedFromEndless(headAndRepetition)).endsWith("[failure BROKEN]");
+  }
+
+  /** Guards against memory that grows with bytes that never become a chunk of a body. */
+  @ParameterizedTest
+  @ValueSource(strings = {"|0", "5;|x", "0\r\n|Trailer: x\r\n"})
+  void endsResponseWhoseChunkHeadHasNoEnd(String chunkAndRepetition) throws Exception {
+    assertThat(receivedFromEndless(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunkAndRepetition))
+        .endsWith("[failure BROKEN]");
+  }
+
+  private String receivedFromEndless(String headAndRepetition) throws Exception {
+    int bar = headAndRepetition.indexOf('|');
+    String head = headAndRepetition.substring(0, Math.max(0, bar));
+    byte[] repeated =
+        headAndRepetition.substring(bar + 1).repeat(1_000).getBytes(StandardCharsets.UTF_8);
+    CountDownLatch closed = new CountDownLatch(1);
+    RawServer.Handler endless =
+        (line, socket, out) -> {
+          out.write(head.getBytes(StandardCharsets.UTF_8));
+          try {
+            while (true) {
+              out.write(repeated);
+            }
+          } catch (IOException e) {
+            closed.countDown();
+            throw e;
+          }
+        };
+    try (RawServer server = new RawServer(endless)) {
+      send(server.address());
+      String events = receivedEvents();
+      assertThat(closed.await(5, TimeUnit.SECONDS)).isTrue();
+      return events;
+    }
+  }
+
   private static void awaitEnd(Socket socket) {
     try {
       socket.getInputStream().skip(Long.MAX_VALUE);
