Deny nothing from a configuration that is older than its bound

Callers got 404 for a route that had been accepted 15 s before, because a daemon answered from whatever configuration it had, of any age. The age of what is known is now measured from polls that the store answered: a response to a poll proves that all changes before the poll are known, a full read does not, since the store may answer it from an earlier state. A denial (no route, unknown key, exhausted budget) is given only while that age is within the bound that the operator sets for configurations; beyond it the caller gets a refusal that states "not run" and may try another daemon. Routes and keys that are known are still served, so that an outage of the store refuses nobody. A daemon is ready only after a poll has confirmed its first read.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -33,6 +33,7 @@
   }
 
   private static final long NO_POSITION = -1;
+  private static final long NEVER = Long.MIN_VALUE;
 
   private final ChangeFeed feed;
   private final String table;
@@ -41,10 +42,11 @@
   private final Listener listener;
   private long position = NO_POSITION;
   private boolean needsFullRead = true;
+  private boolean isConfirmed;
   private boolean isStoreUnavailable;
   private boolean stopped;
   private long lastResponseAtMillis;
-  private long knownAsOfMillis;
+  private long knownAsOfMillis = NEVER;
 
   FeedFollower(
       ChangeFeed feed, String table, Scheduler scheduler, DecisionLog log, Listener listener) {
@@ -57,7 +59,6 @@
 
   void start() {
     lastResponseAtMillis = scheduler.nowMillis();
-    knownAsOfMillis = lastResponseAtMillis;
     next();
   }
 
@@ -72,10 +73,11 @@
 
   /**
    * Returns the age of what is known of the table, in milliseconds: all changes before that time
-   * were received.
+   * were received. {@code Long.MAX_VALUE} until a poll has confirmed a full read, since the store
+   * may answer reads from an earlier state.
    */
   long knowledgeAgeMillis() {
-    return scheduler.nowMillis() - knownAsOfMillis;
+    return knownAsOfMillis == NEVER ? Long.MAX_VALUE : scheduler.nowMillis() - knownAsOfMillis;
   }
 
   private void next() {
@@ -83,11 +85,15 @@
       return;
     }
     long startedAt = scheduler.nowMillis();
-    var call =
-        needsFullRead ? feed.readAll(table) : feed.poll(table, position, POLL_TIMEOUT_MILLIS);
+    var call = needsFullRead ? feed.readAll(table) : feed.poll(table, position, pollMillis());
     var unused = call.thenAccept(r -> onResult(r, startedAt));
   }
 
+  /** Returns how long the next poll waits: not at all after a full read, to confirm it at once. */
+  private long pollMillis() {
+    return isConfirmed ? POLL_TIMEOUT_MILLIS : 0;
+  }
+
   private void onResult(ChangeFeed.Result result, long startedAt) {
     if (stopped) {
       return;
@@ -113,12 +119,16 @@
       return;
     }
     position = Math.max(position, c.position());
-    knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(c, startedAt));
     if (needsFullRead) {
       needsFullRead = false;
+      isConfirmed = false;
       listener.onFullRead(c.changes());
-    } else if (!c.changes().isEmpty()) {
-      listener.onChanges(c.changes());
+    } else {
+      knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(c, startedAt));
+      isConfirmed = true;
+      if (!c.changes().isEmpty()) {
+        listener.onChanges(c.changes());
+      }
     }
     next();
   }
@@ -132,13 +142,12 @@
     }
   }
 
-  /** Returns the earliest time at which the store can have given this answer to a poll or read. */
+  /** Returns the earliest time at which the store can have sent the response to a poll. */
   private long answeredAtEarliest(ChangeFeed.Result.Changes c, long startedAt) {
-    boolean waitedInVain =
-        !needsFullRead
-            && c.changes().isEmpty()
-            && scheduler.nowMillis() - startedAt >= POLL_TIMEOUT_MILLIS;
-    return waitedInVain ? startedAt + POLL_TIMEOUT_MILLIS : startedAt;
+    // The store sends an empty response only after the wait of the poll.
+    boolean waited =
+        c.changes().isEmpty() && scheduler.nowMillis() - startedAt >= POLL_TIMEOUT_MILLIS;
+    return waited ? startedAt + pollMillis() : startedAt;
   }
 
   private void onFailed(String reason, long startedAt) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -163,15 +163,17 @@
   /**
    * Returns whether requests can be served.
    *
-   * @return true once a configuration and the upstreams are known
+   * @return true once a confirmed configuration and the upstreams are known
    */
   public boolean isReady() {
-    return current != null && upstreamsKnown;
+    return current != null
+        && upstreamsKnown
+        && configurations.knowledgeAgeMillis() != Long.MAX_VALUE;
   }
 
   @Override
   public Optional<ForwardingTable> table() {
-    return upstreamsKnown ? Optional.ofNullable(current) : Optional.empty();
+    return isReady() ? Optional.of(current) : Optional.empty();
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
@@ -17,7 +17,8 @@
   /**
    * Returns the age of what is known of the configuration.
    *
-   * @return milliseconds since the time before which all changes are known
+   * @return milliseconds since the time before which all changes are known; {@code Long.MAX_VALUE}
+   *     if that was never confirmed
    */
   long configurationAgeMillis();
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -120,7 +120,12 @@
         dispatch();
       }
     } else if (outcome instanceof PrepaidBudgets.Outcome.Exhausted) {
-      refuse(Refusal.Kind.BUDGET_EXHAUSTED, 0, "the prepaid tokens do not cover the request");
+      refuse(
+          forwarder.toTrueRefusal(
+              new Refusal(
+                  Refusal.Kind.BUDGET_EXHAUSTED,
+                  0,
+                  "the prepaid tokens do not cover the request")));
     } else if (outcome instanceof PrepaidBudgets.Outcome.HeldElsewhere) {
       refuse(
           Refusal.Kind.NOT_RUN,
@@ -263,11 +268,15 @@
   }
 
   private void refuse(Refusal.Kind kind, long retryAfterMillis, String reason) {
+    refuse(new Refusal(kind, retryAfterMillis, reason));
+  }
+
+  private void refuse(Refusal refusal) {
     if (ended) {
       return;
     }
-    caller.refuse(new Refusal(kind, retryAfterMillis, reason));
-    finish(kind + " " + reason, false);
+    caller.refuse(refusal);
+    finish(refusal.kind() + " " + refusal.detail(), false);
   }
 
   private void onTimeout() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -25,6 +25,9 @@
   /** Retry advice in milliseconds while no configuration is known. */
   static final long UNCONFIGURED_RETRY_AFTER_MILLIS = 500;
 
+  /** Retry advice in milliseconds while the configuration is outdated; other daemons know more. */
+  static final long OUTDATED_RETRY_AFTER_MILLIS = 300;
+
   /**
    * Fraction of the allowed retries that the counted daemons use. The rest is a reserve for a
    * daemon that is not counted yet.
@@ -99,7 +102,7 @@
     Optional<Route> route = table.flatMap(t -> t.route(request.host(), request.path()));
     Optional<AccountSettings> account = table.flatMap(t -> request.key().flatMap(t::account));
     if (refusal.isEmpty()) {
-      refusal = checkRouteAndKey(table.get(), route, account);
+      refusal = checkRouteAndKey(table.get(), route, account).map(this::toTrueRefusal);
     }
     if (refusal.isPresent()) {
       refuse(request, exchange, refusal.get(), table);
@@ -127,6 +130,20 @@
         "no configuration is known yet");
   }
 
+  /**
+   * Replaces a denial that a newer configuration may have lifted by a refusal that can be retried
+   * at another daemon.
+   */
+  Refusal toTrueRefusal(Refusal denial) {
+    if (fleet.configurationAgeMillis() <= settings.configurationBoundMillis()) {
+      return denial;
+    }
+    return new Refusal(
+        Refusal.Kind.CONFIGURATION_OUTDATED,
+        OUTDATED_RETRY_AFTER_MILLIS,
+        "the configuration is outdated: " + denial.detail());
+  }
+
   private static Optional<Refusal> checkRouteAndKey(
       ForwardingTable table, Optional<Route> route, Optional<AccountSettings> account) {
     if (route.isEmpty()) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Refusal.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Refusal.java
@@ -14,6 +14,8 @@
   public enum Kind {
     /** No configuration is known yet; the request did not run. */
     NOT_CONFIGURED,
+    /** The configuration is too old to deny the request; it did not run. */
+    CONFIGURATION_OUTDATED,
     /** No route matches. */
     NO_ROUTE,
     /** The API key is missing or unknown. */
@@ -35,7 +37,7 @@
      * @return true if the request did not run and never will
      */
     public boolean statesNotRun() {
-      return this == NOT_CONFIGURED || this == NOT_RUN;
+      return this == NOT_CONFIGURED || this == CONFIGURATION_OUTDATED || this == NOT_RUN;
     }
   }
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -180,6 +180,22 @@
     assertThat(follower.configurationAgeMillis()).isGreaterThan(2_000);
   }
 
+  /** Guards against serving from a first read that the store answered from an earlier state. */
+  @Test
+  void isNotReadyBeforeThePollThatConfirmsTheFirstRead() {
+    feed.polls.get("configurations").add(new ChangeFeed.Result.HistoryLost());
+    feed.all.get("configurations").add(changes(8, "config", "4"));
+    feed.all.get("upstreams").add(changes(10, "a", "x"));
+    follower.start();
+    scheduler.run(1_000);
+    assertThat(versions).containsExactly(4L);
+    assertThat(follower.isReady()).isFalse();
+    feed.all.get("configurations").add(changes(10, "config", "5"));
+    scheduler.run(1_000);
+    assertThat(versions).containsExactly(4L, 5L);
+    assertThat(follower.isReady()).isTrue();
+  }
+
   private static List<ChangeFeed.Result> failures(int count) {
     return Collections.nCopies(count, new ChangeFeed.Result.Failed("down"));
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -29,6 +29,7 @@
   static final long TIMEOUT_MILLIS = 2_000;
   static final long TARGET_MILLIS = 200;
   static final long MAX_PAUSE_MILLIS = 100;
+  static final long CONFIGURATION_BOUND_MILLIS = 3_000;
 
   final VirtualScheduler scheduler = new VirtualScheduler();
   final FakeTable table = new FakeTable(scheduler);
@@ -112,7 +113,7 @@
             this,
             budgets,
             new LoadExchange(scheduler, new NoOpLoadTransport(), "d.1"),
-            new ForwardSettings("here", 0.2, 50),
+            new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
             () -> 0);
     Route route =
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -185,7 +185,7 @@
                           loop.eventloop(),
                           new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
                       "d.1"),
-                  new ForwardSettings("d", 0.2, 10),
+                  new ForwardSettings("d", 0.2, 10, 2_000),
                   (e, f) -> {},
                   () -> 0);
           server =
