Accept late responses of the store instead of starting again

Callers got 404 for a route accepted 15 s before, from a host whose link was congested by callers.

Since a connection may have stalled, another call is started beside it after the same time as before, four at most, the oldest giving way; the first response counts and ends the others. Reads that lag behind are repeated after a pause as long as the read took, so that large tables do not fill a slow link.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -1,8 +1,12 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.ChangeFeed.Change;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -32,14 +36,35 @@
     void onChanges(List<Change> changes);
   }
 
+  /**
+   * Time beyond the wait of a call after which another one is started beside it, in milliseconds. A
+   * connection may have stalled without a reset.
+   */
+  static final long OVERDUE_MARGIN_MILLIS = 700;
+
+  /**
+   * Largest number of calls in progress. Several of them keep one call alive for as long as a
+   * response takes over a congested link, while new ones detect that the store is back.
+   */
+  static final int MAX_CALLS = 4;
+
   private static final long NO_POSITION = -1;
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** A poll or full read in progress. */
+  private record Call(
+      boolean isFullRead,
+      long waitMillis,
+      long startedAtMillis,
+      CompletableFuture<ChangeFeed.Result> result) {}
+
+  private final Deque<Call> calls = new ArrayDeque<>();
   private final ChangeFeed feed;
   private final String table;
   private final Scheduler scheduler;
   private final DecisionLog log;
   private final Listener listener;
+  private Cancellable nextCall = () -> {};
   private long position = NO_POSITION;
   private boolean needsFullRead = true;
   private boolean isConfirmed;
@@ -59,11 +84,13 @@
 
   void start() {
     lastResponseAtMillis = scheduler.nowMillis();
-    next();
+    call();
   }
 
   void stop() {
     stopped = true;
+    nextCall.cancel();
+    cancelCalls();
   }
 
   /** Returns the time since the last response of the store, in milliseconds. */
@@ -80,57 +107,87 @@
     return knownAsOfMillis == NEVER ? Long.MAX_VALUE : scheduler.nowMillis() - knownAsOfMillis;
   }
 
-  private void next() {
+  private void call() {
+    nextCall.cancel();
     if (stopped) {
       return;
     }
-    long startedAt = scheduler.nowMillis();
-    var call = needsFullRead ? feed.readAll(table) : feed.poll(table, position, pollMillis());
-    var unused = call.thenAccept(r -> onResult(r, startedAt));
+    if (calls.size() == MAX_CALLS) {
+      calls.removeFirst().result().cancel(false);
+    }
+    // A poll after a full read does not wait, so that it confirms the read at once.
+    long waitMillis = needsFullRead || !isConfirmed ? 0 : POLL_TIMEOUT_MILLIS;
+    Call call =
+        new Call(
+            needsFullRead,
+            waitMillis,
+            scheduler.nowMillis(),
+            needsFullRead ? feed.readAll(table) : feed.poll(table, position, waitMillis));
+    calls.addLast(call);
+    nextCall = scheduler.schedule(waitMillis + OVERDUE_MARGIN_MILLIS, () -> onOverdue(call));
+    var unused = call.result().thenAccept(r -> onResult(call, r));
   }
 
-  /** Returns how long the next poll waits: not at all after a full read, to confirm it at once. */
-  private long pollMillis() {
-    return isConfirmed ? POLL_TIMEOUT_MILLIS : 0;
+  /** Starts another call beside the ones without a response. */
+  private void onOverdue(Call call) {
+    log.record(
+        "store_call_overdue",
+        Map.of("table", table, "in_progress", calls.size(), "age_ms", knowledgeAgeMillis()));
+    onUnavailable("no response within " + elapsedMillis(call) + " ms");
+    call();
   }
 
-  private void onResult(ChangeFeed.Result result, long startedAt) {
-    if (stopped) {
+  private void onResult(Call call, ChangeFeed.Result result) {
+    boolean isNewest = call.equals(calls.peekLast());
+    if (stopped || !calls.remove(call)) {
       return;
     }
     if (result instanceof ChangeFeed.Result.Failed f) {
-      onFailed(f.reason(), startedAt);
+      onFailed(call, f.reason(), isNewest);
       return;
     }
+    cancelCalls();
     onResponse();
     if (result instanceof ChangeFeed.Result.HistoryLost) {
       needsFullRead = true;
       log.record("history_lost", Map.of("table", table, "position", position));
-      next();
+      call();
     } else if (result instanceof ChangeFeed.Result.Changes c) {
-      onRows(c, startedAt);
+      onRows(call, c);
     }
   }
 
-  private void onRows(ChangeFeed.Result.Changes c, long startedAt) {
-    if (needsFullRead && c.position() < position) {
-      // A stale read would revert changes that were already applied.
-      scheduler.schedule(RETRY_DELAY_MILLIS, this::next);
+  private void onRows(Call call, ChangeFeed.Result.Changes c) {
+    if (call.isFullRead() && c.position() < position) {
+      // A stale read would revert changes that were already applied. The pause leaves room for
+      // other traffic if the table is large and the link slow.
+      scheduleCall(Math.max(RETRY_DELAY_MILLIS, elapsedMillis(call)));
       return;
     }
     position = Math.max(position, c.position());
-    if (needsFullRead) {
+    if (call.isFullRead()) {
       needsFullRead = false;
       isConfirmed = false;
       listener.onFullRead(c.changes());
     } else {
-      knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(c, startedAt));
       isConfirmed = true;
+      knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(call, c));
       if (!c.changes().isEmpty()) {
         listener.onChanges(c.changes());
       }
     }
-    next();
+    call();
+  }
+
+  /** Returns the earliest time at which the store can have sent the response to a poll. */
+  private long answeredAtEarliest(Call poll, ChangeFeed.Result.Changes c) {
+    // The store sends an empty response only after the wait of the poll.
+    boolean waited = c.changes().isEmpty() && elapsedMillis(poll) >= poll.waitMillis();
+    return poll.startedAtMillis() + (waited ? poll.waitMillis() : 0);
+  }
+
+  private long elapsedMillis(Call call) {
+    return scheduler.nowMillis() - call.startedAtMillis();
   }
 
   private void onResponse() {
@@ -142,30 +199,38 @@
     }
   }
 
-  /** Returns the earliest time at which the store can have sent the response to a poll. */
-  private long answeredAtEarliest(ChangeFeed.Result.Changes c, long startedAt) {
-    // The store sends an empty response only after the wait of the poll.
-    boolean waited =
-        c.changes().isEmpty() && scheduler.nowMillis() - startedAt >= POLL_TIMEOUT_MILLIS;
-    return waited ? startedAt + pollMillis() : startedAt;
-  }
-
-  private void onFailed(String reason, long startedAt) {
+  private void onFailed(Call call, String reason, boolean isNewest) {
     log.record(
         "store_call_failed",
         Map.of(
             "table",
             table,
             "took_ms",
-            scheduler.nowMillis() - startedAt,
+            elapsedMillis(call),
             "age_ms",
             knowledgeAgeMillis(),
             "reason",
             reason));
+    onUnavailable(reason);
+    if (isNewest) {
+      scheduleCall(RETRY_DELAY_MILLIS);
+    }
+  }
+
+  private void onUnavailable(String reason) {
     if (!isStoreUnavailable) {
       isStoreUnavailable = true;
       log.record("store_lost", Map.of("table", table, "age_ms", ageMillis(), "reason", reason));
     }
-    scheduler.schedule(RETRY_DELAY_MILLIS, this::next);
+  }
+
+  private void scheduleCall(long delayMillis) {
+    nextCall.cancel();
+    nextCall = scheduler.schedule(delayMillis, this::call);
+  }
+
+  private void cancelCalls() {
+    calls.forEach(c -> c.result().cancel(false));
+    calls.clear();
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
@@ -6,7 +6,7 @@
 
 /**
  * Change feed of the tables in the platform's store. Futures complete on the event loop and never
- * exceptionally.
+ * exceptionally, unless the caller cancels them, which abandons the call.
  */
 public interface ChangeFeed {
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -75,6 +75,11 @@
    */
   private final class ScriptedFeed implements ChangeFeed {
 
+    /** Time by which each response is delayed. */
+    private long congestionMillis;
+
+    private final List<CompletableFuture<Result>> calls = new ArrayList<>();
+
     private final Map<String, Deque<Result>> all =
         Map.of("configurations", new ArrayDeque<>(), "upstreams", new ArrayDeque<>());
     private final Map<String, Deque<Result>> polls =
@@ -82,23 +87,35 @@
 
     @Override
     public CompletableFuture<Result> readAll(String name) {
-      Result next = all.get(name).poll();
-      return later(5, next == null ? new Result.Failed("none") : next);
+      return later(5, all.get(name), new Result.Failed("none"));
     }
 
     @Override
     public CompletableFuture<Result> poll(String name, long position, long waitMillis) {
-      Result next = polls.get(name).poll();
-      return next == null
-          ? later(waitMillis, new Result.Changes(List.of(), position))
-          : later(5, next);
+      Deque<Result> scripted = polls.get(name);
+      long delayMillis = scripted.isEmpty() ? waitMillis : 5;
+      return later(delayMillis, scripted, new Result.Changes(List.of(), position));
     }
 
-    private CompletableFuture<Result> later(long delayMillis, Result result) {
+    /** Responds with the next scripted result, which a cancelled call leaves to the next one. */
+    private CompletableFuture<Result> later(
+        long delayMillis, Deque<Result> scripted, Result otherwise) {
       CompletableFuture<Result> f = new CompletableFuture<>();
-      scheduler.schedule(delayMillis, () -> f.complete(result));
+      calls.add(f);
+      scheduler.schedule(
+          delayMillis + congestionMillis,
+          () -> {
+            if (!f.isDone()) {
+              Result next = scripted.poll();
+              f.complete(next == null ? otherwise : next);
+            }
+          });
       return f;
     }
+
+    private long callsInProgress() {
+      return calls.stream().filter(f -> !f.isDone()).count();
+    }
   }
 
   private static ChangeFeed.Result changes(long position, String... keysAndValues) {
@@ -196,6 +213,33 @@
     assertThat(follower.isReady()).isTrue();
   }
 
+  /** Guards against losing all contact while responses take longer than a poll waits. */
+  @Test
+  void learnsOfChangesWhileResponsesAreLate() {
+    start();
+    feed.congestionMillis = 5_000;
+    scheduler.run(5_000);
+    feed.polls.get("configurations").add(changes(12, "config", "7"));
+    scheduler.run(12_000);
+    assertThat(versions).containsExactly(5L, 7L);
+    assertThat(log).contains("store_lost configurations", "store_regained configurations");
+  }
+
+  /** Guards against calls that pile up while the store is silent, and a late start afterwards. */
+  @Test
+  void keepsFewCallsInProgressWhileTheStoreIsSilent() {
+    start();
+    feed.congestionMillis = 60_000;
+    scheduler.run(20_000);
+    assertThat(feed.callsInProgress()).isEqualTo(2L * FeedFollower.MAX_CALLS);
+    feed.congestionMillis = 0;
+    feed.polls.get("configurations").add(changes(12, "config", "7"));
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS + FeedFollower.OVERDUE_MARGIN_MILLIS + 10);
+    assertThat(versions).containsExactly(5L, 7L);
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS);
+    assertThat(feed.callsInProgress()).isEqualTo(2);
+  }
+
   private static List<ChangeFeed.Result> failures(int count) {
     return Collections.nCopies(count, new ChangeFeed.Result.Failed("down"));
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -93,7 +93,7 @@
    * @param headers headers to send
    * @param body body to send, or null for none
    * @param timeoutMillis time to wait for the complete response, in milliseconds
-   * @return the outcome
+   * @return the outcome; cancelling it closes the connection that was opened for the call
    */
   public CompletableFuture<HttpResult> call(
       HttpMethod method,
@@ -119,12 +119,17 @@
         .then(r -> r.loadBody(MAX_RESPONSE_SIZE).map(buf -> toResult(r, buf.getArray())))
         .whenResult(future::complete)
         .whenException(e -> future.complete(exchange.toFailure(String.valueOf(e))));
-    return future.whenComplete(
-        (r, e) -> {
-          if (timer.isActive()) {
-            timer.cancel();
-          }
-        });
+    var unused =
+        future.whenComplete(
+            (r, e) -> {
+              if (timer.isActive()) {
+                timer.cancel();
+              }
+              if (future.isCancelled()) {
+                exchange.abort();
+              }
+            });
+    return future;
   }
 
   /**
