Give the poll that confirms a read as long as the others

Polls without a wait were overdue after 0.7 s, so that the fourth one ended the first after 2.8 s, close to the 2.5 s of the test's responses, and no poll ever confirmed the read. All calls are now overdue after the same 1.7 s, and six of them may be in progress, so that a call is not given up before its own limit of 10 s.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -37,16 +37,16 @@
   }
 
   /**
-   * Time beyond the wait of a call after which another one is started beside it, in milliseconds. A
+   * Time after which another call is started beside one without a response, in milliseconds. A
    * connection may have stalled without a reset.
    */
-  static final long OVERDUE_MARGIN_MILLIS = 700;
+  static final long OVERDUE_MILLIS = POLL_TIMEOUT_MILLIS + 700;
 
   /**
-   * Largest number of calls in progress. Several of them keep one call alive for as long as a
-   * response takes over a congested link, while new ones detect that the store is back.
+   * Largest number of calls in progress. Responses may take seconds over a congested link, so a
+   * call stays in progress for that long while new ones detect that the store is back.
    */
-  static final int MAX_CALLS = 4;
+  static final int MAX_CALLS = 6;
 
   private static final long NO_POSITION = -1;
   private static final long NEVER = Long.MIN_VALUE;
@@ -124,7 +124,7 @@
             scheduler.nowMillis(),
             needsFullRead ? feed.readAll(table) : feed.poll(table, position, waitMillis));
     calls.addLast(call);
-    nextCall = scheduler.schedule(waitMillis + OVERDUE_MARGIN_MILLIS, () -> onOverdue(call));
+    nextCall = scheduler.schedule(OVERDUE_MILLIS, () -> onOverdue(call));
     var unused = call.result().thenAccept(r -> onResult(call, r));
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -217,14 +217,25 @@
   @Test
   void learnsOfChangesWhileResponsesAreLate() {
     start();
-    feed.congestionMillis = 5_000;
-    scheduler.run(5_000);
+    feed.congestionMillis = 8_000;
+    scheduler.run(8_000);
     feed.polls.get("configurations").add(changes(12, "config", "7"));
-    scheduler.run(12_000);
+    scheduler.run(18_000);
     assertThat(versions).containsExactly(5L, 7L);
     assertThat(log).contains("store_lost configurations", "store_regained configurations");
   }
 
+  /** Guards against a first read that is never confirmed while responses are late. */
+  @Test
+  void startsWhileResponsesAreLate() {
+    feed.congestionMillis = 8_000;
+    feed.all.get("configurations").add(changes(10, "config", "5"));
+    feed.all.get("upstreams").add(changes(10, "a", "x"));
+    follower.start();
+    scheduler.run(18_000);
+    assertThat(follower.isReady()).isTrue();
+  }
+
   /** Guards against calls that pile up while the store is silent, and a late start afterwards. */
   @Test
   void keepsFewCallsInProgressWhileTheStoreIsSilent() {
@@ -234,7 +245,7 @@
     assertThat(feed.callsInProgress()).isEqualTo(2L * FeedFollower.MAX_CALLS);
     feed.congestionMillis = 0;
     feed.polls.get("configurations").add(changes(12, "config", "7"));
-    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS + FeedFollower.OVERDUE_MARGIN_MILLIS + 10);
+    scheduler.run(FeedFollower.OVERDUE_MILLIS + 10);
     assertThat(versions).containsExactly(5L, 7L);
     scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS);
     assertThat(feed.callsInProgress()).isEqualTo(2);
