End responses of upstreams that have no end

A faulty upstream may send bytes that are no answer until its caller closes. Heads without end were cut off already. A body or an event without end was kept in memory until the deadline, which ends a process with a heap of 48 MB; a chunk extension or trailer without end was read until the deadline.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/EventFramer.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/EventFramer.java
@@ -46,7 +46,12 @@
 
   /** Returns whether an incomplete event is buffered. */
   boolean hasPartialEvent() {
-    return event.size() > 0 || line.size() > 0;
+    return bufferedBytes() > 0;
+  }
+
+  /** Returns the number of buffered bytes of an incomplete event. */
+  long bufferedBytes() {
+    return (long) event.size() + line.size();
   }
 
   private void onLine() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -133,6 +133,14 @@
     } else {
       bodyBuffer.writeBytes(bytes);
     }
+    if (!ended && !forwarder.responseBuffers().resize(this, bufferedBytes())) {
+      exchange.cancel();
+      fail(AttemptOutcome.BROKEN, "no end after " + bufferedBytes() + " bytes");
+    }
+  }
+
+  private long bufferedBytes() {
+    return framer.bufferedBytes() + bodyBuffer.size();
   }
 
   private boolean isStream() {
@@ -198,6 +206,7 @@
 
   private void finish() {
     ended = true;
+    forwarder.responseBuffers().release(this);
     silenceCheck.cancel();
     markPromptProcessed();
     load.onEnded();
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -44,6 +44,7 @@
   private final LongSupplier random;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Set<ForwardTask> running = new HashSet<>();
+  private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private long refused;
   private long served;
 
@@ -221,6 +222,10 @@
     return UpstreamSelector.choose(candidates, prompt, settings.failureDomain(), now, random);
   }
 
+  ResponseBuffers responseBuffers() {
+    return responseBuffers;
+  }
+
   LoadExchange loads() {
     return loads;
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -48,6 +48,7 @@
             "http://" + upstream.address() + request.caller().target(),
             headers,
             request.caller().body().length == 0 ? null : request.caller().body());
+    exchange.limitFraming();
     ResponseBodyReader bodyReader = new ResponseBodyReader(exchange, new ListenerSink(listener));
     exchange
         .response()
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
@@ -97,7 +97,9 @@
       close();
       sink.onEnd();
     } else {
-      sink.onBytes(buf.asArray());
+      byte[] bytes = buf.asArray();
+      exchange.onBodyBytes(bytes.length);
+      sink.onBytes(bytes);
     }
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -193,6 +193,23 @@
       state.abort();
     }
 
+    /**
+     * Closes the connection if the response has much more bytes than its body. The reader of the
+     * body must report its bytes to {@link #onBodyBytes}.
+     */
+    public void limitFraming() {
+      state.limitFraming();
+    }
+
+    /**
+     * Counts bytes of the body that were read.
+     *
+     * @param count number of bytes
+     */
+    public void onBodyBytes(int count) {
+      state.onBodyBytes(count);
+    }
+
     /**
      * Classifies a failure of this request.
      *
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -11,6 +11,7 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.IdentityHashMap;
 
 /**
  * Records for each request whether a connection was opened for it, and which one. ActiveJ reports a
@@ -19,13 +20,23 @@
  */
 final class ConnectionTracker {
 
+  /**
+   * Largest number of bytes of a response besides its body, in bytes, and beyond as many bytes as
+   * the body has. Chunk extensions and trailers have no other limit.
+   */
+  static final long MAX_FRAMING_BYTES = 256 * 1024;
+
+  private final IdentityHashMap<TcpSocket, State> limitedStates = new IdentityHashMap<>();
   private TcpSocket lastOpenedSocket;
 
   /** State of the connection of one request. */
-  static final class State {
+  final class State {
 
     private boolean connecting;
     private boolean aborted;
+    private boolean isFramingLimited;
+    private long receivedBytes;
+    private long bodyBytes;
     private TcpSocket socket;
 
     /** Tells whether bytes of the request may have been sent, over a new or a reused connection. */
@@ -37,9 +48,29 @@
     void abort() {
       aborted = true;
       if (socket != null) {
+        limitedStates.remove(socket);
         socket.close();
       }
     }
+
+    /**
+     * Closes the connection when a response has too many bytes besides its body, whose size {@link
+     * #onBodyBytes} reports.
+     */
+    void limitFraming() {
+      isFramingLimited = true;
+    }
+
+    void onBodyBytes(int count) {
+      bodyBytes += count;
+    }
+
+    private void onReceived(int count) {
+      receivedBytes += count;
+      if (receivedBytes > MAX_FRAMING_BYTES + 2 * bodyBytes) {
+        abort();
+      }
+    }
   }
 
   State track(HttpRequest request) {
@@ -82,6 +113,9 @@
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
       State state = request.getAttachment(State.class);
       state.socket = lastOpenedSocket;
+      if (state.isFramingLimited) {
+        limitedStates.put(lastOpenedSocket, state);
+      }
       if (state.aborted) {
         lastOpenedSocket.close();
       } else {
@@ -121,7 +155,12 @@
     public void onReadTimeout(TcpSocket socket) {}
 
     @Override
-    public void onRead(TcpSocket socket, ByteBuf buf) {}
+    public void onRead(TcpSocket socket, ByteBuf buf) {
+      State state = limitedStates.get(socket);
+      if (state != null) {
+        state.onReceived(buf.readRemaining());
+      }
+    }
 
     @Override
     public void onReadEndOfStream(TcpSocket socket) {}
@@ -139,6 +178,8 @@
     public void onWriteError(TcpSocket socket, IOException e) {}
 
     @Override
-    public void onDisconnect(TcpSocket socket) {}
+    public void onDisconnect(TcpSocket socket) {
+      limitedStates.remove(socket);
+    }
   }
 }
