Refuse and be not ready while other daemons have a newer configuration

A host behind a congested link hears load reports of the others but may get the configuration seconds late. It went on serving what an older version allows, said that it was ready, and callers kept their connections. Load reports now carry the version of the configuration. A daemon knows for how long others have had a newer one: beyond half of the bound for configurations it is not ready and asks callers to connect again, beyond the bound it refuses at once, so that callers come to a daemon that knows. An outage of the store that hits all daemons changes nothing, since no version gets ahead.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -15,6 +15,7 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.core.forward.ConfigurationLag;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
@@ -95,6 +96,7 @@
   private final DecisionLog log;
   private final Listener listener;
   private final UpstreamCatalog upstreams = new UpstreamCatalog();
+  private final ConfigurationLag lag = new ConfigurationLag();
   private final FeedFollower configurations;
   private final FeedFollower upstreamRows;
   private ForwardingTable current;
@@ -181,6 +183,20 @@
     return configurations.knowledgeAgeMillis();
   }
 
+  @Override
+  public long configurationLagMillis() {
+    return lag.lagMillis(scheduler.nowMillis());
+  }
+
+  /**
+   * Records the version of the configuration that another daemon has.
+   *
+   * @param version version of the configuration
+   */
+  public void onPeerVersion(long version) {
+    lag.onPeerVersion(version, scheduler.nowMillis());
+  }
+
   @Override
   public UpstreamCatalog upstreams() {
     return upstreams;
@@ -251,6 +267,7 @@
         "configuration",
         Map.of("version", t.version(), "before", current == null ? 0 : current.version()));
     current = t;
+    lag.onOwnVersion(t.version());
     listener.onConfiguration(t);
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
@@ -22,6 +22,13 @@
    */
   long configurationAgeMillis();
 
+  /**
+   * Returns for how long other daemons have been known to have a newer configuration.
+   *
+   * @return milliseconds, 0 if none is known to have one
+   */
+  long configurationLagMillis();
+
   /**
    * Returns the upstreams.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -99,7 +99,7 @@
    */
   public Handle serve(CallerRequest request, CallerExchange exchange) {
     Optional<ForwardingTable> table = fleet.table();
-    Optional<Refusal> refusal = table.isEmpty() ? Optional.of(notConfigured()) : Optional.empty();
+    Optional<Refusal> refusal = table.isEmpty() ? Optional.of(notConfigured()) : checkLag();
     Optional<Route> route = table.flatMap(t -> t.route(request.host(), request.path()));
     Optional<AccountSettings> account = table.flatMap(t -> request.key().flatMap(t::account));
     if (refusal.isEmpty()) {
@@ -124,6 +124,20 @@
         public void onWritable() {}
       };
 
+  private Optional<Refusal> checkLag() {
+    long lagMillis = fleet.configurationLagMillis();
+    return lagMillis <= settings.configurationBoundMillis()
+        ? Optional.empty()
+        : Optional.of(outdated("other daemons have had a newer one for " + lagMillis + " ms"));
+  }
+
+  private static Refusal outdated(String reason) {
+    return new Refusal(
+        Refusal.Kind.CONFIGURATION_OUTDATED,
+        OUTDATED_RETRY_AFTER_MILLIS,
+        "the configuration is outdated: " + reason);
+  }
+
   private static Refusal notConfigured() {
     return new Refusal(
         Refusal.Kind.NOT_CONFIGURED,
@@ -136,13 +150,9 @@
    * at another daemon.
    */
   Refusal toTrueRefusal(Refusal denial) {
-    if (fleet.configurationAgeMillis() <= settings.configurationBoundMillis()) {
-      return denial;
-    }
-    return new Refusal(
-        Refusal.Kind.CONFIGURATION_OUTDATED,
-        OUTDATED_RETRY_AFTER_MILLIS,
-        "the configuration is outdated: " + denial.detail());
+    return fleet.configurationAgeMillis() <= settings.configurationBoundMillis()
+        ? denial
+        : outdated(denial.detail());
   }
 
   private static Optional<Refusal> checkRouteAndKey(
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
@@ -39,11 +41,14 @@
   private final String incarnation;
   private final Map<String, UpstreamLoad> ownLoad = new HashMap<>();
   private final PeerLoads peerLoads = new PeerLoads();
+  private final LongSupplier ownVersion;
+  private final LongConsumer peerVersions;
   private List<String> peers = List.of();
   private long sequence;
   private long lastSentAtMillis;
   private boolean isReportScheduled;
   private boolean wasLastReportEmpty = true;
+  private long lastReportedVersion;
   private boolean stopped;
 
   /**
@@ -52,17 +57,30 @@
    * @param scheduler clock and delayed tasks
    * @param transport sends and receives the reports
    * @param incarnation incarnation of this daemon
+   * @param ownVersion version of the configuration in force at this daemon, 0 if none
+   * @param peerVersions receives the version of the configuration in each report
    * @throws NullPointerException if an argument is null
    */
-  public LoadExchange(Scheduler scheduler, LoadTransport transport, String incarnation) {
+  public LoadExchange(
+      Scheduler scheduler,
+      LoadTransport transport,
+      String incarnation,
+      LongSupplier ownVersion,
+      LongConsumer peerVersions) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+    this.ownVersion = Objects.requireNonNull(ownVersion, "ownVersion");
+    this.peerVersions = Objects.requireNonNull(peerVersions, "peerVersions");
   }
 
   /** Starts to receive reports and to send them periodically. */
   public void start() {
-    transport.receive(r -> peerLoads.onReport(r, scheduler.nowMillis()));
+    transport.receive(
+        r -> {
+          peerLoads.onReport(r, scheduler.nowMillis());
+          peerVersions.accept(r.configurationVersion());
+        });
     scheduler.schedule(REPEAT_INTERVAL_MILLIS, this::repeatReport);
   }
 
@@ -149,11 +167,14 @@
             entries.add(new LoadReport.Entry(id, load.inFlight(), load.pendingPrefillTokens()));
           }
         });
-    if (stopped || peers.isEmpty() || (entries.isEmpty() && wasLastReportEmpty)) {
+    long version = ownVersion.getAsLong();
+    boolean isUnchanged = entries.isEmpty() && wasLastReportEmpty && version == lastReportedVersion;
+    if (stopped || peers.isEmpty() || isUnchanged) {
       return;
     }
     wasLastReportEmpty = entries.isEmpty();
+    lastReportedVersion = version;
     lastSentAtMillis = scheduler.nowMillis();
-    transport.send(peers, new LoadReport(incarnation, ++sequence, entries));
+    transport.send(peers, new LoadReport(incarnation, ++sequence, version, entries));
   }
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -213,6 +213,17 @@
     assertThat(follower.isReady()).isTrue();
   }
 
+  @Test
+  void knowsThatOthersHaveNewerConfigurationUntilItHasThatOne() {
+    start();
+    follower.onPeerVersion(7);
+    scheduler.run(2_000);
+    assertThat(follower.configurationLagMillis()).isEqualTo(2_000);
+    feed.polls.get("configurations").add(changes(12, "config", "7"));
+    scheduler.run(2_000);
+    assertThat(follower.configurationLagMillis()).isZero();
+  }
+
   /** Guards against losing all contact while responses take longer than a poll waits. */
   @Test
   void learnsOfChangesWhileResponsesAreLate() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -43,6 +43,7 @@
   boolean callerAcceptsMore = true;
   ForwardingTable current;
   long configurationAgeMillis;
+  long configurationLagMillis;
 
   /** A request that was passed to the transport. */
   static final class Sent implements Exchange {
@@ -112,7 +113,7 @@
             this,
             this,
             budgets,
-            new LoadExchange(scheduler, new NoOpLoadTransport(), "d.1"),
+            new LoadExchange(scheduler, new NoOpLoadTransport(), "d.1", () -> 0, v -> {}),
             new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
             () -> 0);
@@ -213,6 +214,11 @@
     return configurationAgeMillis;
   }
 
+  @Override
+  public long configurationLagMillis() {
+    return configurationLagMillis;
+  }
+
   @Override
   public long upstreamDataAgeMillis() {
     return 0;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -80,6 +80,20 @@
     assertThat(h.callerEvents).containsExactly("FAILED");
   }
 
+  /** Guards against running what a configuration that others have had for long forbids. */
+  @Test
+  void refusesAtOnceWhileOthersHaveNewerConfigurationForLong() {
+    ForwardHarness h = plain(RetryPolicy.REPEATABLE, 2);
+    h.configurationLagMillis = ForwardHarness.CONFIGURATION_BOUND_MILLIS;
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    assertThat(h.sent).hasSize(1);
+    h.configurationLagMillis++;
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    assertThat(h.sent).hasSize(1);
+    assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.CONFIGURATION_OUTDATED);
+    assertThat(h.refusal.retryAfterMillis()).isPositive();
+  }
+
   /** Guards against reporting a budget as exhausted that was topped up meanwhile. */
   @Test
   void reportsNoExhaustedBudgetFromAnOutdatedConfiguration() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -14,6 +14,9 @@
 
 class LoadExchangeTest {
 
+  private final List<Long> peerVersions = new ArrayList<>();
+  private long version;
+
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final Map<String, Consumer<LoadReport>> receivers = new HashMap<>();
   private final List<LoadReport> sent = new ArrayList<>();
@@ -38,8 +41,24 @@
     }
   }
 
+  /** Guards against an idle daemon from which others never hear that theirs is outdated. */
+  @Test
+  void reportsNewVersionOfTheConfigurationWithoutLoad() {
+    daemon("a", "b");
+    daemon("b");
+    version = 9;
+    scheduler.run(3 * LoadExchange.REPEAT_INTERVAL_MILLIS);
+    assertThat(peerVersions).containsExactly(9L);
+  }
+
   private LoadExchange daemon(String name, String... peers) {
-    LoadExchange e = new LoadExchange(scheduler, new FakeLoadTransport(name), name + ".1");
+    LoadExchange e =
+        new LoadExchange(
+            scheduler,
+            new FakeLoadTransport(name),
+            name + ".1",
+            () -> version,
+            v -> peerVersions.add(v));
     e.start();
     e.onPeers(List.of(peers));
     return e;
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -4,13 +4,16 @@
 
 /**
  * Load that one daemon puts on all upstreams, as reported to the other daemons. A later report
- * replaces an earlier one.
+ * replaces an earlier one. The version of the configuration shows the others whether theirs is
+ * outdated.
  *
  * @param sender incarnation of the daemon
  * @param sequence number of the report within the incarnation, increasing
+ * @param configurationVersion version of the configuration in force at the daemon, 0 if unknown
  * @param entries upstreams at which the daemon has requests
  */
-public record LoadReport(String sender, long sequence, List<Entry> entries) {
+public record LoadReport(
+    String sender, long sequence, long configurationVersion, List<Entry> entries) {
 
   /**
    * Load on one upstream.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -27,7 +27,7 @@
 
   private final CallerDialect dialect;
   private final CallerConnections.TrackedConnection connection;
-  private final BooleanSupplier isStopping;
+  private final BooleanSupplier shouldClose;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private Forwarder.Handle handle;
@@ -38,10 +38,10 @@
   CallerResponseWriter(
       CallerDialect dialect,
       CallerConnections.TrackedConnection connection,
-      BooleanSupplier isStopping) {
+      BooleanSupplier shouldClose) {
     this.dialect = dialect;
     this.connection = connection;
-    this.isStopping = isStopping;
+    this.shouldClose = shouldClose;
   }
 
   /** Returns the response, which completes when its status and headers are known. */
@@ -85,7 +85,7 @@
   private HttpResponse.Builder newResponse(int status, List<HeaderField> fields) {
     HttpResponse.Builder builder = HttpResponse.ofCode(status);
     fields.forEach(f -> builder.withHeader(HeaderFields.toHttpHeader(f.name()), f.value()));
-    if (isStopping.getAsBoolean()) {
+    if (shouldClose.getAsBoolean()) {
       builder.withHeader(
           HeaderFields.toHttpHeader(CONNECTION_CLOSE.name()), CONNECTION_CLOSE.value());
     }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -47,6 +47,12 @@
 
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
+  /**
+   * Lag behind the configuration of other daemons up to which a daemon is ready, as a fraction of
+   * the bound for a configuration to be in force.
+   */
+  private static final double READY_LAG_FRACTION = 0.5;
+
   /**
    * Settings of the daemon.
    *
@@ -144,7 +150,13 @@
             fleet::daemonCount,
             decisions);
     this.loadTransport = new UdpLoadTransport(reactor, settings.peers());
-    this.loadExchange = new LoadExchange(scheduler, loadTransport, settings.incarnation());
+    this.loadExchange =
+        new LoadExchange(
+            scheduler,
+            loadTransport,
+            settings.incarnation(),
+            this::configurationVersion,
+            fleet::onPeerVersion);
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -157,7 +169,13 @@
             decisions,
             ThreadLocalRandom.current()::nextLong);
     this.server =
-        new ForwardServer(reactor, scheduler, settings.callers(), forwarder, ports.callerDialect());
+        new ForwardServer(
+            reactor,
+            scheduler,
+            settings.callers(),
+            forwarder,
+            ports.callerDialect(),
+            this::isReady);
     this.status = new StatusServer(reactor, settings.status(), this::isReady, decisions::toText);
     this.metrics = new StatusServer(reactor, settings.metrics(), this::isReady, decisions::toText);
     decisions.register("requests.in_progress", forwarder::inProgress);
@@ -165,6 +183,7 @@
     decisions.register("requests.refused", forwarder::refused);
     decisions.register("callers.connections", server::connectionCount);
     decisions.register("configuration.version", this::configurationVersion);
+    decisions.register("configuration.lag_ms", fleet::configurationLagMillis);
     decisions.register("configuration.age_ms", fleet::configurationAgeMillis);
     decisions.register("upstreams.age_ms", fleet::upstreamDataAgeMillis);
     decisions.register("peers.reporting", loadExchange::reportingPeerCount);
@@ -200,7 +219,7 @@
   }
 
   private boolean isReady() {
-    boolean isReady = stopping == null && fleet.isReady();
+    boolean isReady = stopping == null && fleet.isReady() && !isFallingBehind();
     if (isReady != wasReady) {
       wasReady = isReady;
       decisions.record(
@@ -212,12 +231,23 @@
               configurationVersion(),
               "configuration_age_ms",
               fleet.configurationAgeMillis(),
+              "configuration_lag_ms",
+              fleet.configurationLagMillis(),
               "upstreams_age_ms",
               fleet.upstreamDataAgeMillis()));
     }
     return isReady;
   }
 
+  /**
+   * Tells whether this daemon lags so far behind the configuration of others that it may have to
+   * refuse requests before callers have moved to another one.
+   */
+  private boolean isFallingBehind() {
+    return fleet.configurationLagMillis()
+        > READY_LAG_FRACTION * settings.forward().configurationBoundMillis();
+  }
+
   private long configurationVersion() {
     return fleet.table().map(ForwardingTable::version).orElse(0L);
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import org.hibiscusreel.coordination.forward.CallerRequest;
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.Refusal;
@@ -37,6 +38,7 @@
 
   private final Forwarder forwarder;
   private final CallerDialect dialect;
+  private final BooleanSupplier isReady;
   private final CallerConnections connections;
   private final HttpServer server;
   private boolean stopping;
@@ -49,6 +51,8 @@
    * @param address address to bind
    * @param forwarder forwards the requests
    * @param dialect message format of the callers
+   * @param isReady tells whether callers may keep their connections; otherwise responses ask them
+   *     to connect again, to another daemon
    * @throws NullPointerException if an argument is null
    */
   public ForwardServer(
@@ -56,9 +60,11 @@
       Scheduler scheduler,
       InetSocketAddress address,
       Forwarder forwarder,
-      CallerDialect dialect) {
+      CallerDialect dialect,
+      BooleanSupplier isReady) {
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
+    this.isReady = Objects.requireNonNull(isReady, "isReady");
     this.connections = new CallerConnections(scheduler, reactor);
     AsyncServlet servlet = this::serve;
     this.server =
@@ -110,7 +116,8 @@
 
   private Promise<HttpResponse> serve(HttpRequest request) {
     CallerConnections.TrackedConnection connection = connections.connectionOf(request);
-    CallerResponseWriter answer = new CallerResponseWriter(dialect, connection, () -> stopping);
+    CallerResponseWriter answer =
+        new CallerResponseWriter(dialect, connection, () -> stopping || !isReady.getAsBoolean());
     if (connection.isClosing() || hasAmbiguousLength(request)) {
       answer.refuse(new Refusal(Refusal.Kind.MALFORMED, 0, "two lengths of the body"));
       connection.closeAfterDelay();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -35,7 +35,7 @@
    */
   static final int MAX_REPORT_BYTES = 8_000;
 
-  private static final int HEADER_FIELDS = 2;
+  private static final int HEADER_FIELDS = 3;
   private static final int FIELDS_PER_ENTRY = 3;
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
 
@@ -98,11 +98,12 @@
   }
 
   /**
-   * Writes {@code [sender, sequence, upstream, requests, pending prefill tokens, upstream, ...]}.
+   * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
+   * tokens, upstream, ...]}.
    */
   private static byte[] write(LoadReport report) {
     ArrayNode fields = JsonBodies.MAPPER.createArrayNode();
-    fields.add(report.sender()).add(report.sequence());
+    fields.add(report.sender()).add(report.sequence()).add(report.configurationVersion());
     for (LoadReport.Entry entry : report.entries()) {
       fields.add(entry.upstream()).add(entry.requests()).add(entry.pendingPrefillTokens());
     }
@@ -111,7 +112,9 @@
 
   private static LoadReport read(byte[] bytes) throws IOException {
     JsonNode fields = JsonBodies.MAPPER.readTree(bytes);
-    if (fields == null || fields.size() % FIELDS_PER_ENTRY != HEADER_FIELDS) {
+    if (fields == null
+        || fields.size() < HEADER_FIELDS
+        || (fields.size() - HEADER_FIELDS) % FIELDS_PER_ENTRY != 0) {
       throw new IOException("a load report must consist of a header and complete entries");
     }
     List<LoadReport.Entry> entries = new ArrayList<>();
@@ -120,7 +123,8 @@
           new LoadReport.Entry(
               fields.get(i).asText(), fields.get(i + 1).asInt(), fields.get(i + 2).asLong()));
     }
-    return new LoadReport(fields.get(0).asText(), fields.get(1).asLong(), entries);
+    return new LoadReport(
+        fields.get(0).asText(), fields.get(1).asLong(), fields.get(2).asLong(), entries);
   }
 
   private InetSocketAddress toAddress(String peer) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -54,6 +54,7 @@
   private final int port = freePort();
   private RawServer upstream;
   private ForwardServer server;
+  private volatile boolean isReady = true;
 
   private static int freePort() {
     try (ServerSocket s = new ServerSocket(0)) {
@@ -145,6 +146,11 @@
       return 0;
     }
 
+    @Override
+    public long configurationLagMillis() {
+      return 0;
+    }
+
     @Override
     public long upstreamDataAgeMillis() {
       return 0;
@@ -184,7 +190,9 @@
                       new UdpLoadTransport(
                           loop.eventloop(),
                           new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
-                      "d.1"),
+                      "d.1",
+                      () -> 0,
+                      v -> {}),
                   new ForwardSettings("d", 0.2, 10, 2_000),
                   (e, f) -> {},
                   () -> 0);
@@ -194,7 +202,8 @@
                   scheduler,
                   new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
                   forwarder,
-                  dialect);
+                  dialect,
+                  () -> isReady);
           try {
             server.start();
           } catch (IOException e) {
@@ -248,6 +257,21 @@
     }
   }
 
+  /** Guards against callers that stay with a daemon that is not ready. */
+  @Test
+  void asksCallersToConnectAgainWhileItIsNotReady() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    isReady = false;
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      StringBuilder text = new StringBuilder();
+      while (!text.toString().endsWith("hello")) {
+        text.append((char) s.getInputStream().read());
+      }
+      assertThat(text.toString()).containsIgnoringCase("\r\nConnection: close\r\n");
+    }
+  }
+
   /** Guards against holding back events of a stream until more data arrives. */
   @Test
   void passesOnEventsAsTheyArrive() throws Exception {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -20,7 +20,7 @@
 class UdpLoadTransportTest {
 
   private static final LoadReport REPORT =
-      new LoadReport("a.1", 7, List.of(new LoadReport.Entry("u", 2, 900)));
+      new LoadReport("a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)));
 
   private final TestLoop loop = new TestLoop();
   private final InetSocketAddress first = freeAddress();
