Read a followed table instead of its history after a failure

The feed sends each version of a row, and one row holds the whole configuration, 0.5 MB with 1,500 routes. After a cut of 8 s the answer held seven versions; over a link of 7 Mbit/s it took 3 s, so that it was given up after 1.7 s and asked for again, without end.

After a failed call, and after an answer that took longer than the next call is overdue and held several versions of a row, the table is now read whole, which has only the newest version; a read that lags behind what is known is dropped and the changes are followed again. Of several versions in one answer only the last valid one is applied.

FleetFollowerTest.readsTableInsteadOfItsHistoryAfterFailure, readsTableInsteadOfItsHistoryWhenVersionsOutpaceTheLink and appliesOnlyTheNewestOfSeveralVersions failed before and pass. Two existing tests script the read that follows a failure; their assertions are the same.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -67,6 +67,7 @@
   private Cancellable nextCall = () -> {};
   private long position = NO_POSITION;
   private boolean needsFullRead = true;
+  private boolean prefersFullRead;
   private boolean isConfirmed;
   private boolean isStoreUnavailable;
   private boolean stopped;
@@ -115,14 +116,15 @@
     if (calls.size() == MAX_CALLS) {
       calls.removeFirst().result().cancel(false);
     }
+    boolean isFullRead = needsFullRead || prefersFullRead;
     // A poll after a full read does not wait, so that it confirms the read at once.
-    long waitMillis = needsFullRead || !isConfirmed ? 0 : POLL_TIMEOUT_MILLIS;
+    long waitMillis = isFullRead || !isConfirmed ? 0 : POLL_TIMEOUT_MILLIS;
     Call call =
         new Call(
-            needsFullRead,
+            isFullRead,
             waitMillis,
             scheduler.nowMillis(),
-            needsFullRead ? feed.readAll(table) : feed.poll(table, position, waitMillis));
+            isFullRead ? feed.readAll(table) : feed.poll(table, position, waitMillis));
     calls.addLast(call);
     nextCall = scheduler.schedule(OVERDUE_MILLIS, () -> onOverdue(call));
     var unused = call.result().thenAccept(r -> onResult(call, r));
@@ -158,10 +160,9 @@
   }
 
   private void onRows(Call call, ChangeFeed.Result.Changes c) {
+    prefersFullRead = !call.isFullRead() && isOutpaced(call, c);
     if (call.isFullRead() && c.position() < position) {
-      // A stale read would revert changes that were already applied. The pause leaves room for
-      // other traffic if the table is large and the link slow.
-      scheduleCall(Math.max(RETRY_DELAY_MILLIS, elapsedMillis(call)));
+      onStaleRead(call);
       return;
     }
     position = Math.max(position, c.position());
@@ -179,6 +180,25 @@
     call();
   }
 
+  /** Drops a read that would revert changes that were already applied. */
+  private void onStaleRead(Call call) {
+    if (needsFullRead) {
+      // The pause leaves room for other traffic if the table is large and the link slow.
+      scheduleCall(Math.max(RETRY_DELAY_MILLIS, elapsedMillis(call)));
+    } else {
+      call();
+    }
+  }
+
+  /**
+   * Tells whether rows change faster than their versions arrive. The feed sends each version of a
+   * row, a read only the newest.
+   */
+  private boolean isOutpaced(Call poll, ChangeFeed.Result.Changes c) {
+    long rows = c.changes().stream().map(ChangeFeed.Change::key).distinct().count();
+    return elapsedMillis(poll) > OVERDUE_MILLIS && rows < c.changes().size();
+  }
+
   /** Returns the earliest time at which the store can have sent the response to a poll. */
   private long answeredAtEarliest(Call poll, ChangeFeed.Result.Changes c) {
     // The store sends an empty response only after the wait of the poll.
@@ -212,6 +232,9 @@
             "reason",
             reason));
     onUnavailable(reason);
+    // Many versions of a large row may be written during an outage, of which a read has only the
+    // newest.
+    prefersFullRead = true;
     if (isNewest) {
       scheduleCall(RETRY_DELAY_MILLIS);
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -254,12 +254,18 @@
     return addresses;
   }
 
-  private void applyConfiguration(Change change) {
-    Optional<ForwardingTable> read = rows.configuration().apply(change);
-    if (read.isEmpty()) {
-      return;
+  /** Applies the last valid one of several versions. */
+  private void applyNewest(List<Change> changes) {
+    for (int i = changes.size() - 1; i >= 0; i--) {
+      Optional<ForwardingTable> read = rows.configuration().apply(changes.get(i));
+      if (read.isPresent()) {
+        applyConfiguration(read.get());
+        return;
+      }
     }
-    ForwardingTable t = read.get();
+  }
+
+  private void applyConfiguration(ForwardingTable t) {
     if (current != null && t.version() <= current.version()) {
       return;
     }
@@ -278,12 +284,12 @@
 
     @Override
     public void onFullRead(List<Change> all) {
-      all.forEach(FleetFollower.this::applyConfiguration);
+      applyNewest(all);
     }
 
     @Override
     public void onChanges(List<Change> changes) {
-      changes.forEach(FleetFollower.this::applyConfiguration);
+      applyNewest(changes);
     }
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -188,8 +188,9 @@
     start();
     scheduler.run(5 * FeedFollower.POLL_TIMEOUT_MILLIS);
     assertThat(follower.configurationAgeMillis()).isLessThan(FeedFollower.POLL_TIMEOUT_MILLIS);
-    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
-    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
+    feed.polls.get("configurations").addAll(failures(2));
+    feed.all.get("configurations").add(changes(10, "config", "5"));
+    feed.all.get("configurations").add(changes(10, "config", "5"));
     scheduler.run(2 * FeedFollower.POLL_TIMEOUT_MILLIS);
     assertThat(log).filteredOn(line -> line.equals("store_call_failed configurations")).hasSize(2);
     feed.polls.values().forEach(polls -> polls.addAll(failures(20)));
@@ -236,6 +237,65 @@
     assertThat(log).contains("store_lost configurations", "store_regained configurations");
   }
 
+  /** Guards against loading all versions of a large row that were written during an outage. */
+  @Test
+  void readsTableInsteadOfItsHistoryAfterFailure() {
+    feed.polls.get("configurations").add(changes(10));
+    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
+    feed.all.get("configurations").add(changes(10, "config", "5"));
+    feed.all.get("configurations").add(changes(20, "config", "9"));
+    feed.all.get("upstreams").add(changes(10, "a", "x"));
+    follower.start();
+    scheduler.run(500);
+    assertThat(versions).containsExactly(5L, 9L);
+  }
+
+  /** Guards against a daemon that falls behind ever further while each version takes long. */
+  @Test
+  void readsTableInsteadOfItsHistoryWhenVersionsOutpaceTheLink() {
+    start();
+    feed.congestionMillis = FeedFollower.OVERDUE_MILLIS;
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS);
+    feed.polls.get("configurations").add(changes(14, "config", "6", "config", "7"));
+    feed.all.get("configurations").add(changes(20, "config", "9"));
+    scheduler.run(3 * FeedFollower.OVERDUE_MILLIS);
+    assertThat(versions).containsExactly(5L, 7L, 9L);
+  }
+
+  /** Guards against a daemon that waits for reads to catch up although it can follow changes. */
+  @Test
+  void followsChangesWhenReadAfterFailureIsStale() {
+    feed.polls.get("configurations").add(changes(12, "config", "7"));
+    feed.polls.get("configurations").add(new ChangeFeed.Result.Failed("down"));
+    feed.polls.get("configurations").add(changes(13, "config", "8"));
+    feed.all.get("configurations").add(changes(10, "config", "5"));
+    feed.all.get("configurations").add(changes(11, "config", "6"));
+    feed.all.get("upstreams").add(changes(10, "a", "x"));
+    follower.start();
+    scheduler.run(500);
+    assertThat(versions).containsExactly(5L, 7L, 8L);
+  }
+
+  /** Guards against taking over each of many versions that arrive together. */
+  @Test
+  void appliesOnlyTheNewestOfSeveralVersions() {
+    feed.polls.get("configurations").add(changes(14, "config", "6", "config", "7", "config", "9"));
+    start();
+    assertThat(versions).containsExactly(5L, 9L);
+  }
+
+  /** Guards against losing all upstreams that a read after an outage lacks. */
+  @Test
+  void keepsUpstreamsThatReadAfterAnOutageLacksBriefly() {
+    start();
+    feed.polls.get("upstreams").add(new ChangeFeed.Result.Failed("down"));
+    feed.all.get("upstreams").add(changes(12));
+    scheduler.run(2_000);
+    assertThat(usable()).containsExactly("a", "b");
+    scheduler.run(2_000);
+    assertThat(usable()).isEmpty();
+  }
+
   /** Guards against a first read that is never confirmed while responses are late. */
   @Test
   void startsWhileResponsesAreLate() {
@@ -271,6 +331,7 @@
   void keepsExpiredUpstreamsBrieflyAfterTheStoreIsAvailableAgain() {
     start();
     feed.polls.get("upstreams").add(new ChangeFeed.Result.Failed("down"));
+    feed.all.get("upstreams").add(changes(11, "a", "x", "b", "x"));
     feed.polls.get("upstreams").add(changes(12, "a", null, "b", null));
     feed.polls.get("upstreams").add(changes(13, "a", "x"));
     scheduler.run(1_500);
