Report upstreams that a full read no longer has as removed

A full read dropped upstreams without a log line and without telling the load exchange, which kept their load. FleetFollowerTest.readsAllRowsAgainAfterHistoryLoss now also expects the removal; it failed before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -304,9 +304,11 @@
     public void onFullRead(List<Change> all) {
       List<UpstreamEntry> entries = new ArrayList<>();
       all.forEach(c -> rows.upstream().apply(c).ifPresent(entries::add));
-      upstreams.replaceAll(entries, scheduler.nowMillis());
+      List<String> removed = upstreams.replaceAll(entries, scheduler.nowMillis());
       upstreamsKnown = true;
       log.record("upstreams", Map.of("known", upstreams.size()));
+      removed.forEach(id -> log.record("upstream_gone", Map.of("upstream", id)));
+      listener.onUpstreamsRemoved(removed);
     }
 
     @Override
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -172,6 +172,7 @@
     follower.start();
     scheduler.run(500);
     assertThat(usable()).containsExactly("b", "c");
+    assertThat(removedUpstreams).containsExactly("a");
   }
 
   @Test
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -78,14 +78,16 @@
    *
    * @param list all entries
    * @param nowMillis monotonic time in milliseconds
+   * @return identifiers of the upstreams that were removed
    */
-  public void replaceAll(List<UpstreamEntry> list, long nowMillis) {
+  public List<String> replaceAll(List<UpstreamEntry> list, long nowMillis) {
     Set<String> missing = new HashSet<>(entries.keySet());
     for (UpstreamEntry e : list) {
       put(e);
       missing.remove(e.id());
     }
-    missing.forEach(id -> remove(id, nowMillis));
+    missing.removeIf(id -> !remove(id, nowMillis));
+    return List.copyOf(missing);
   }
 
   /**
