Count only configurations that others have confirmed lately as newer

With the change before, one daemon that got a configuration just before the store went away would make all others refuse everything after the bound, since they knew that a newer one exists.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -189,9 +189,9 @@
   }
 
   /**
-   * Records the version of the configuration that another daemon has.
+   * Records the version of the configuration that another daemon has confirmed lately.
    *
-   * @param version version of the configuration
+   * @param version version of the configuration, 0 if none
    */
   public void onPeerVersion(long version) {
     lag.onPeerVersion(version, scheduler.nowMillis());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -57,7 +57,7 @@
    * @param scheduler clock and delayed tasks
    * @param transport sends and receives the reports
    * @param incarnation incarnation of this daemon
-   * @param ownVersion version of the configuration in force at this daemon, 0 if none
+   * @param ownVersion version of the configuration that this daemon has confirmed lately, 0 if none
    * @param peerVersions receives the version of the configuration in each report
    * @throws NullPointerException if an argument is null
    */
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -9,7 +9,8 @@
  *
  * @param sender incarnation of the daemon
  * @param sequence number of the report within the incarnation, increasing
- * @param configurationVersion version of the configuration in force at the daemon, 0 if unknown
+ * @param configurationVersion version of the configuration that the daemon has confirmed lately, 0
+ *     if it has confirmed none
  * @param entries upstreams at which the daemon has requests
  */
 public record LoadReport(
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -155,7 +155,7 @@
             scheduler,
             loadTransport,
             settings.incarnation(),
-            this::configurationVersion,
+            this::confirmedVersion,
             fleet::onPeerVersion);
     this.forwarder =
         new Forwarder(
@@ -248,6 +248,16 @@
         > READY_LAG_FRACTION * settings.forward().configurationBoundMillis();
   }
 
+  /**
+   * Returns the version of the configuration, or 0 if it was not confirmed within its bound, so
+   * that a daemon without the store does not make others with an older version refuse requests.
+   */
+  private long confirmedVersion() {
+    return fleet.configurationAgeMillis() <= settings.forward().configurationBoundMillis()
+        ? configurationVersion()
+        : 0;
+  }
+
   private long configurationVersion() {
     return fleet.table().map(ForwardingTable::version).orElse(0L);
   }
