--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -73,6 +73,7 @@
   private boolean stopped;
   private long lastResponseAtMillis;
   private long knownAsOfMillis = NEVER;
+  private long lastReadMillis;
 
   FeedFollower(
       ChangeFeed feed, String table, Scheduler scheduler, DecisionLog log, Listener listener) {
@@ -153,7 +154,8 @@
     if (result instanceof ChangeFeed.Result.HistoryLost) {
       needsFullRead = true;
       log.record("history_lost", Map.of("table", table, "position", position));
-      call();
+      // After an unconfirmed read, the store still answers reads from before the lost history.
+      scheduleCall(isConfirmed ? 0 : readPauseMillis());
     } else if (result instanceof ChangeFeed.Result.Changes c) {
       onRows(call, c);
     }
@@ -161,8 +163,11 @@
 
   private void onRows(Call call, ChangeFeed.Result.Changes c) {
     prefersFullRead = !call.isFullRead() && isOutpaced(call, c);
+    if (call.isFullRead()) {
+      lastReadMillis = elapsedMillis(call);
+    }
     if (call.isFullRead() && c.position() < position) {
-      onStaleRead(call);
+      onStaleRead();
       return;
     }
     position = Math.max(position, c.position());
@@ -181,15 +186,22 @@
   }
 
   /** Drops a read that would revert changes that were already applied. */
-  private void onStaleRead(Call call) {
+  private void onStaleRead() {
     if (needsFullRead) {
-      // The pause leaves room for other traffic if the table is large and the link slow.
-      scheduleCall(Math.max(RETRY_DELAY_MILLIS, elapsedMillis(call)));
+      scheduleCall(readPauseMillis());
     } else {
       call();
     }
   }
 
+  /**
+   * Returns the pause before a read is repeated. It is as long as a read takes, which leaves room
+   * for other traffic if the table is large and the link slow.
+   */
+  private long readPauseMillis() {
+    return Math.max(RETRY_DELAY_MILLIS, Math.min(OVERDUE_MILLIS, lastReadMillis));
+  }
+
   /**
    * Tells whether rows change faster than their versions arrive. The feed sends each version of a
    * row, a read only the newest.
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -297,6 +297,22 @@
     assertThat(usable()).isEmpty();
   }
 
+  /** Guards against reading a large table without pause while reads lag behind the history. */
+  @Test
+  void pausesBetweenReadsThatCannotBeConfirmed() {
+    int scripted = 1_000;
+    feed.polls
+        .get("configurations")
+        .addAll(Collections.nCopies(scripted, new ChangeFeed.Result.HistoryLost()));
+    feed.all
+        .get("configurations")
+        .addAll(Collections.nCopies(scripted, changes(10, "config", "5")));
+    follower.start();
+    scheduler.run(3_000);
+    int reads = scripted - feed.all.get("configurations").size();
+    assertThat(reads).isBetween(2, (int) (3_000 / FeedFollower.RETRY_DELAY_MILLIS) + 1);
+  }
+
   /** Guards against a first read that is never confirmed while responses are late. */
   @Test
   void startsWhileResponsesAreLate() {
