Be not ready before callers use up the link of the host

Polls of the store, connections to upstreams and answers to callers then wait for seconds in the queue of the link, and the balancer notices only when its checks wait as well.

A daemon now counts the bytes that it exchanges with callers and upstreams. Above 70 in 100 of the link setting in either direction it is not ready and asks callers to connect again, until the use was below 50 in 100 for five seconds, so that other hosts take them. Traffic with the store does not count: a large configuration would make all hosts leave at the same moment.

LinkUseTest and ForwardServerTest.countsTrafficWithCallersAndUpstreams pass.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -19,7 +19,9 @@
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.LinkUse;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.TrafficListener;
 
 /**
  * Daemon that forwards requests of callers to upstreams. Used only on the thread of the event loop.
@@ -63,6 +65,7 @@
    * @param metrics second address that serves readiness and metrics
    * @param peers address that receives the load reports of other daemons
    * @param graceMillis time from the stop request until the process is killed, in milliseconds
+   * @param linkBytesPerSecond capacity of each direction of the host's link in bytes per second
    * @param storeWritesPerSecond write rate that the store accepts from all daemons together
    * @param forward settings of the forwarder
    */
@@ -74,6 +77,7 @@
       InetSocketAddress metrics,
       InetSocketAddress peers,
       long graceMillis,
+      double linkBytesPerSecond,
       double storeWritesPerSecond,
       ForwardSettings forward) {}
 
@@ -98,6 +102,7 @@
   private final Settings settings;
   private final Scheduler scheduler;
   private final JsonDecisionLog log;
+  private final LinkUse link;
   private final FleetFollower fleet;
   private final PrepaidBudgets budgets;
   private final UdpLoadTransport loadTransport;
@@ -130,6 +135,8 @@
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.log = Objects.requireNonNull(log, "log");
     this.decisions = new DecisionMetrics(log);
+    this.link = new LinkUse(settings.linkBytesPerSecond());
+    final TrafficListener traffic = new LinkTraffic();
     this.fleet =
         new FleetFollower(
             ports.feed(),
@@ -162,7 +169,8 @@
             scheduler,
             fleet,
             new HttpUpstreamTransport(
-                new AsyncHttpClient(reactor, false, CONNECT_TIMEOUT), ports.upstreamDialect()),
+                new AsyncHttpClient(reactor, false, CONNECT_TIMEOUT, traffic),
+                ports.upstreamDialect()),
             budgets,
             loadExchange,
             settings.forward(),
@@ -175,7 +183,8 @@
             settings.callers(),
             forwarder,
             ports.callerDialect(),
-            this::isReady);
+            this::isReady,
+            traffic);
     this.status = new StatusServer(reactor, settings.status(), this::isReady, decisions::toText);
     this.metrics = new StatusServer(reactor, settings.metrics(), this::isReady, decisions::toText);
     decisions.register("requests.in_progress", forwarder::inProgress);
@@ -219,7 +228,9 @@
   }
 
   private boolean isReady() {
-    boolean isReady = stopping == null && fleet.isReady() && !isFallingBehind();
+    boolean isLinkOverloaded = link.isOverloaded(scheduler.nowMillis());
+    boolean isReady =
+        stopping == null && fleet.isReady() && !isFallingBehind() && !isLinkOverloaded;
     if (isReady != wasReady) {
       wasReady = isReady;
       decisions.record(
@@ -234,7 +245,9 @@
               "configuration_lag_ms",
               fleet.configurationLagMillis(),
               "upstreams_age_ms",
-              fleet.upstreamDataAgeMillis()));
+              fleet.upstreamDataAgeMillis(),
+              "link_overloaded",
+              isLinkOverloaded));
     }
     return isReady;
   }
@@ -301,6 +314,20 @@
     stopping.complete(null);
   }
 
+  /** Counts the traffic with callers and upstreams. */
+  private final class LinkTraffic implements TrafficListener {
+
+    @Override
+    public void onReceived(int bytes) {
+      link.onReceived(bytes, scheduler.nowMillis());
+    }
+
+    @Override
+    public void onSent(int bytes) {
+      link.onSent(bytes, scheduler.nowMillis());
+    }
+  }
+
   private final class FleetListener implements FleetFollower.Listener {
 
     @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -18,6 +18,7 @@
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.daemon.http.CallerConnections;
+import org.hibiscusreel.daemon.http.TrafficListener;
 
 /** HTTP server for callers whose requests are forwarded. Used only on the event loop. */
 public final class ForwardServer {
@@ -53,6 +54,7 @@
    * @param dialect message format of the callers
    * @param isReady tells whether callers may keep their connections; otherwise responses ask them
    *     to connect again, to another daemon
+   * @param traffic receives the number of bytes exchanged with callers
    * @throws NullPointerException if an argument is null
    */
   public ForwardServer(
@@ -61,11 +63,12 @@
       InetSocketAddress address,
       Forwarder forwarder,
       CallerDialect dialect,
-      BooleanSupplier isReady) {
+      BooleanSupplier isReady,
+      TrafficListener traffic) {
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
     this.isReady = Objects.requireNonNull(isReady, "isReady");
-    this.connections = new CallerConnections(scheduler, reactor);
+    this.connections = new CallerConnections(scheduler, reactor, traffic);
     AsyncServlet servlet = this::serve;
     this.server =
         HttpServer.builder(reactor, servlet)
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -46,7 +46,7 @@
 
   private final NioReactor reactor;
   private final HttpClient client;
-  private final ConnectionTracker tracker = new ConnectionTracker();
+  private final ConnectionTracker tracker;
 
   /**
    * Creates a client.
@@ -68,7 +68,25 @@
    * @throws NullPointerException if an argument is null
    */
   public AsyncHttpClient(NioReactor reactor, boolean reuseConnections, Duration connectTimeout) {
+    this(reactor, reuseConnections, connectTimeout, TrafficListener.NONE);
+  }
+
+  /**
+   * Creates a client whose traffic is counted.
+   *
+   * @param reactor the event loop
+   * @param reuseConnections whether connections are kept for further calls
+   * @param connectTimeout timeout for opening a connection
+   * @param traffic receives the number of bytes sent and received
+   * @throws NullPointerException if an argument is null
+   */
+  public AsyncHttpClient(
+      NioReactor reactor,
+      boolean reuseConnections,
+      Duration connectTimeout,
+      TrafficListener traffic) {
     this.reactor = Objects.requireNonNull(reactor, "reactor");
+    this.tracker = new ConnectionTracker(Objects.requireNonNull(traffic, "traffic"));
     HttpClient.Builder builder =
         HttpClient.builder(reactor, newDnsClient(reactor))
             .withConnectTimeout(connectTimeout)
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -41,6 +41,7 @@
 
   private final Scheduler scheduler;
   private final CurrentTimeProvider loopTime;
+  private final TrafficListener traffic;
   private final IdentityHashMap<HttpServerConnection, TrackedConnection> entries =
       new IdentityHashMap<>();
   private Cancellable timer;
@@ -56,8 +57,23 @@
    * @throws NullPointerException if an argument is null
    */
   public CallerConnections(Scheduler scheduler, CurrentTimeProvider loopTime) {
+    this(scheduler, loopTime, TrafficListener.NONE);
+  }
+
+  /**
+   * Creates a tracker whose traffic is counted.
+   *
+   * @param scheduler time and delayed tasks of the event loop
+   * @param loopTime time of the event loop, from which ActiveJ takes the timestamps of its
+   *     connections
+   * @param traffic receives the number of bytes sent and received
+   * @throws NullPointerException if an argument is null
+   */
+  public CallerConnections(
+      Scheduler scheduler, CurrentTimeProvider loopTime, TrafficListener traffic) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
+    this.traffic = Objects.requireNonNull(traffic, "traffic");
   }
 
   /** One tracked connection. */
@@ -303,7 +319,9 @@
     public void onReadTimeout(TcpSocket socket) {}
 
     @Override
-    public void onRead(TcpSocket socket, ByteBuf buf) {}
+    public void onRead(TcpSocket socket, ByteBuf buf) {
+      traffic.onReceived(buf.readRemaining());
+    }
 
     @Override
     public void onReadEndOfStream(TcpSocket socket) {}
@@ -315,7 +333,9 @@
     public void onWriteTimeout(TcpSocket socket) {}
 
     @Override
-    public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {}
+    public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
+      traffic.onSent(bytes);
+    }
 
     @Override
     public void onWriteError(TcpSocket socket, IOException e) {}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -27,8 +27,13 @@
   static final long MAX_FRAMING_BYTES = 256 * 1024;
 
   private final IdentityHashMap<TcpSocket, State> limitedStates = new IdentityHashMap<>();
+  private final TrafficListener traffic;
   private TcpSocket lastOpenedSocket;
 
+  ConnectionTracker(TrafficListener traffic) {
+    this.traffic = traffic;
+  }
+
   /** State of the connection of one request. */
   final class State {
 
@@ -156,6 +161,7 @@
 
     @Override
     public void onRead(TcpSocket socket, ByteBuf buf) {
+      traffic.onReceived(buf.readRemaining());
       State state = limitedStates.get(socket);
       if (state != null) {
         state.onReceived(buf.readRemaining());
@@ -172,7 +178,9 @@
     public void onWriteTimeout(TcpSocket socket) {}
 
     @Override
-    public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {}
+    public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
+      traffic.onSent(bytes);
+    }
 
     @Override
     public void onWriteError(TcpSocket socket, IOException e) {}
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -19,6 +19,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hibiscusreel.coordination.forward.CallerRequest;
 import org.hibiscusreel.coordination.forward.FleetView;
 import org.hibiscusreel.coordination.forward.ForwardSettings;
@@ -38,6 +39,7 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.WeightedService;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.TrafficListener;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.RawServer;
 import org.hibiscusreel.daemon.loop.TestLoop;
@@ -55,6 +57,24 @@
   private RawServer upstream;
   private ForwardServer server;
   private volatile boolean isReady = true;
+  private final CountedTraffic callerTraffic = new CountedTraffic();
+  private final CountedTraffic upstreamTraffic = new CountedTraffic();
+
+  private static final class CountedTraffic implements TrafficListener {
+
+    private final AtomicInteger received = new AtomicInteger();
+    private final AtomicInteger sent = new AtomicInteger();
+
+    @Override
+    public void onReceived(int bytes) {
+      received.addAndGet(bytes);
+    }
+
+    @Override
+    public void onSent(int bytes) {
+      sent.addAndGet(bytes);
+    }
+  }
 
   private static int freePort() {
     try (ServerSocket s = new ServerSocket(0)) {
@@ -182,7 +202,8 @@
                   scheduler,
                   new Fleet(),
                   new HttpUpstreamTransport(
-                      new AsyncHttpClient(loop.eventloop(), false, Duration.ofMillis(500)),
+                      new AsyncHttpClient(
+                          loop.eventloop(), false, Duration.ofMillis(500), upstreamTraffic),
                       dialect),
                   budgets,
                   new LoadExchange(
@@ -203,7 +224,8 @@
                   new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
                   forwarder,
                   dialect,
-                  () -> isReady);
+                  () -> isReady,
+                  callerTraffic);
           try {
             server.start();
           } catch (IOException e) {
@@ -257,6 +279,24 @@
     }
   }
 
+  /** Guards against traffic that the measurement of the link misses. */
+  @Test
+  void countsTrafficWithCallersAndUpstreams() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    String request = request("/plain/x");
+    try (Socket s = connect()) {
+      send(s, request);
+      StringBuilder text = new StringBuilder();
+      while (!text.toString().endsWith("hello")) {
+        text.append((char) s.getInputStream().read());
+      }
+      assertThat(callerTraffic.received).hasValue(request.length());
+      assertThat(callerTraffic.sent).hasValue(text.length());
+      assertThat(upstreamTraffic.received).hasValueGreaterThan("hello".length());
+      assertThat(upstreamTraffic.sent).hasValueGreaterThan("GET /plain/x".length());
+    }
+  }
+
   /** Guards against callers that stay with a daemon that is not ready. */
   @Test
   void asksCallersToConnectAgainWhileItIsNotReady() throws Exception {
