--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.AttemptProgress;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLoad;
@@ -70,6 +71,7 @@
   private int status;
   private List<HeaderField> fields = List.of();
   private boolean isPromptProcessed;
+  private boolean isAnswered;
   private boolean isPaused;
   private boolean ended;
   private long lastActivityAtMillis;
@@ -94,6 +96,14 @@
     return upstream;
   }
 
+  /** Returns how far the upstream got with the request. */
+  AttemptProgress progress() {
+    if (isAnswered) {
+      return AttemptProgress.ANSWERING;
+    }
+    return status == 0 ? AttemptProgress.WAITING : AttemptProgress.STARTED;
+  }
+
   void start(UpstreamTransport.UpstreamRequest outgoing) {
     load.onSent(prefillTokens);
     forwarder.loads().scheduleReport();
@@ -131,6 +141,7 @@
     if (isStream()) {
       framer.accept(bytes);
     } else {
+      isAnswered = true;
       bodyBuffer.writeBytes(bytes);
     }
     if (!ended && !forwarder.responseBuffers().resize(this, bufferedBytes())) {
@@ -151,6 +162,7 @@
     if (ended || isAlreadyDelivered(id)) {
       return;
     }
+    isAnswered = true;
     markPromptProcessed();
     load.onSuccess();
     owner.onStreamBegin(status, fields);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -54,6 +54,7 @@
   private final long timeoutAtMillis;
   private final Set<String> triedUpstreams = new HashSet<>();
   private final List<String> attemptResults = new ArrayList<>();
+  private final List<String> attemptProgress = new ArrayList<>();
   private Cancellable timer = () -> {};
   private ForwardAttempt attempt;
   private int sentAttempts;
@@ -250,6 +251,7 @@
   private void recordAttemptResult(String result) {
     long after = forwarder.scheduler().nowMillis() - arrivalMillis;
     attemptResults.add(attempt.upstream().id() + "@" + after + " " + result);
+    attemptProgress.add(attempt.progress().name());
     attempt = null;
   }
 
@@ -359,6 +361,10 @@
     request.prompt().ifPresent(p -> fields.put("prompt_tokens", p.promptTokens()));
     fields.put("charged_tokens", charged);
     fields.put("attempts", attemptResults);
+    if (mayHaveRun) {
+      fields.put("attempt_progress", attemptProgress);
+      request.prompt().ifPresent(p -> fields.put("prompt_parts", p.sharedPartIds()));
+    }
     fields.put("outcome", outcome);
     forwarder.log().record("request", fields);
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -168,9 +169,12 @@
   }
 
   static CallerRequest prompt(long promptTokens, long maxOutputTokens) {
-    PromptShape shape =
-        new PromptShape(
-            promptTokens, maxOutputTokens, List.of(new PromptShape.Part("p", promptTokens)));
+    return prompt(List.of(new PromptShape.Part("p", promptTokens)), maxOutputTokens);
+  }
+
+  private static CallerRequest prompt(List<PromptShape.Part> parts, long maxOutputTokens) {
+    long promptTokens = parts.stream().mapToLong(PromptShape.Part::tokens).sum();
+    PromptShape shape = new PromptShape(promptTokens, maxOutputTokens, parts);
     return new CallerRequest(
         "id2",
         "POST",
@@ -184,6 +188,10 @@
         new byte[0]);
   }
 
+  static CallerRequest prompt(String... parts) {
+    return prompt(Arrays.stream(parts).map(id -> new PromptShape.Part(id, 100)).toList(), 50);
+  }
+
   Sent last() {
     return sent.get(sent.size() - 1);
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.junit.jupiter.api.Test;
@@ -117,6 +118,19 @@
     assertThat(h.callerEvents).containsExactly("FAILED");
   }
 
+  /** Guards against broken attempts whose common prompt part the log does not show. */
+  @Test
+  void logsPromptPartsAndProgressOfBrokenAttempts() {
+    ForwardHarness h = stream(RetryPolicy.RESUMABLE);
+    h.serve(ForwardHarness.prompt("common", "special", "own"));
+    h.last().fail(AttemptOutcome.BROKEN);
+    h.last().head(200);
+    h.last().fail(AttemptOutcome.BROKEN);
+    Map<String, Object> line = h.logLines.get(h.logLines.size() - 1);
+    assertThat(line).containsEntry("attempt_progress", List.of("WAITING", "STARTED"));
+    assertThat(line).containsEntry("prompt_parts", List.of("common", "special"));
+  }
+
   /** Guards against stating "not run" although one attempt may have run. */
   @Test
   void doesNotStateNotRunAfterAnAttemptThatMayHaveRun() {
--- a/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
@@ -54,6 +54,15 @@
     return parts.subList(0, Math.max(0, parts.size() - 1));
   }
 
+  /**
+   * Returns the identifiers of the parts that other prompts may share.
+   *
+   * @return identifiers of all parts except the last one, in order
+   */
+  public List<String> sharedPartIds() {
+    return sharedPrefixParts().stream().map(Part::id).toList();
+  }
+
   /**
    * Returns the length of the shared prefix.
    *
