--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.AttemptProgress;
@@ -60,6 +62,7 @@
   private final Forwarder forwarder;
   private final Owner owner;
   private final Route route;
+  private final Supplier<Set<String>> traits;
   private final UpstreamEntry upstream;
   private final UpstreamLoad load;
   private final long prefillTokens;
@@ -74,18 +77,21 @@
   private boolean isAnswered;
   private boolean isPaused;
   private boolean ended;
+  private long sentAtMillis;
   private long lastActivityAtMillis;
 
   ForwardAttempt(
       Forwarder forwarder,
       Owner owner,
       Route route,
+      Supplier<Set<String>> traits,
       UpstreamEntry upstream,
       long prefillTokens,
       String resumedAfter) {
     this.forwarder = forwarder;
     this.owner = owner;
     this.route = route;
+    this.traits = traits;
     this.upstream = upstream;
     this.load = forwarder.loads().ownLoad(upstream.id());
     this.prefillTokens = prefillTokens;
@@ -107,7 +113,8 @@
   void start(UpstreamTransport.UpstreamRequest outgoing) {
     load.onSent(prefillTokens);
     forwarder.loads().scheduleReport();
-    lastActivityAtMillis = forwarder.scheduler().nowMillis();
+    sentAtMillis = forwarder.scheduler().nowMillis();
+    lastActivityAtMillis = sentAtMillis;
     exchange = forwarder.transport().send(upstream, outgoing, this);
     scheduleSilenceCheck();
   }
@@ -162,7 +169,10 @@
     if (ended || isAlreadyDelivered(id)) {
       return;
     }
-    isAnswered = true;
+    if (!isAnswered) {
+      isAnswered = true;
+      forwarder.crashes().onAnswered(traits);
+    }
     markPromptProcessed();
     load.onSuccess();
     owner.onStreamBegin(status, fields);
@@ -191,8 +201,12 @@
     if (!isStream()) {
       finish();
       load.onSuccess();
+      if (status == STATUS_OK) {
+        forwarder.crashes().onAnswered(traits);
+      }
       owner.onFullResponse(status, fields, bodyBuffer.toByteArray());
     } else if (framer.hasPartialEvent()) {
+      reportBroken();
       fail(AttemptOutcome.BROKEN, "the stream ended inside an event");
     } else {
       finish();
@@ -204,10 +218,19 @@
   @Override
   public void onFailure(AttemptOutcome outcome, String reason) {
     if (!ended) {
+      if (outcome == AttemptOutcome.BROKEN) {
+        reportBroken();
+      }
       fail(outcome, reason);
     }
   }
 
+  private void reportBroken() {
+    if (progress() != AttemptProgress.ANSWERING) {
+      forwarder.crashes().onBroken(upstream, traits.get(), progress());
+    }
+  }
+
   private void fail(AttemptOutcome outcome, String reason) {
     finish();
     if (outcome != AttemptOutcome.NOT_EXECUTED) {
@@ -235,6 +258,7 @@
 
   private void recordActivity() {
     lastActivityAtMillis = forwarder.scheduler().nowMillis();
+    forwarder.crashes().onAlive(upstream, sentAtMillis);
   }
 
   private void scheduleSilenceCheck() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -8,9 +8,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.core.crash.RequestTraits;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.AttemptPolicy;
+import org.hibiscusreel.core.forward.AttemptProgress;
 import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.PromptShape;
@@ -40,6 +42,19 @@
   /** Default retry advice in milliseconds for a request that did not run. */
   static final long RETRY_AFTER_MILLIS = 300;
 
+  /** Interval in milliseconds at which a suspect that has to wait is judged again. */
+  static final long SUSPECT_POLL_MILLIS = 50;
+
+  /** Longest wait of a suspect in milliseconds; the reports of a crash arrive within it. */
+  static final long MAX_SUSPECT_WAIT_MILLIS = 500;
+
+  /**
+   * Delay in milliseconds after which it is known whether an upstream that broke off a request has
+   * ended or goes on answering others.
+   */
+  static final long CRASH_CHECK_MILLIS = 150;
+
+  private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
   private static final int STATUS_SERVER_ERROR = 500;
 
   private final Forwarder forwarder;
@@ -55,6 +70,9 @@
   private final Set<String> triedUpstreams = new HashSet<>();
   private final List<String> attemptResults = new ArrayList<>();
   private final List<String> attemptProgress = new ArrayList<>();
+  private Set<String> knownTraits;
+  private Optional<UpstreamCrashes.Admission.Suspect> suspect = Optional.empty();
+  private long suspectSinceMillis;
   private Cancellable timer = () -> {};
   private ForwardAttempt attempt;
   private int sentAttempts;
@@ -92,6 +110,10 @@
   void start() {
     timer = forwarder.scheduler().schedule(remainingMillis(), this::onTimeout);
     forwarder.retryBudget(service.name()).onRequest();
+    if (forwarder.crashes().isBlocked(this::traits)) {
+      refuse(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS);
+      return;
+    }
     if (tokensToReserve() == 0) {
       dispatch();
       return;
@@ -140,10 +162,80 @@
     }
   }
 
+  /** Returns the traits by which a request that crashes upstreams is recognized. */
+  private Set<String> traits() {
+    if (knownTraits == null) {
+      knownTraits =
+          RequestTraits.of(
+              account.map(AccountSettings::name).orElse(""),
+              request.method() + " " + request.host() + request.target(),
+              request.body(),
+              request.prompt().map(PromptShape::sharedPartIds).orElse(List.of()));
+    }
+    return knownTraits;
+  }
+
   private void dispatch() {
+    if (ended) {
+      return;
+    }
+    // A request whose stream has begun does not crash upstreams.
+    UpstreamCrashes.Admission admission =
+        streamBegun
+            ? new UpstreamCrashes.Admission.Free()
+            : forwarder.crashes().admit(this::traits);
+    if (admission instanceof UpstreamCrashes.Admission.Refused) {
+      endBlocked();
+    } else if (admission instanceof UpstreamCrashes.Admission.Later) {
+      awaitVerdict();
+    } else {
+      suspect =
+          admission instanceof UpstreamCrashes.Admission.Suspect s
+              ? Optional.of(s)
+              : Optional.empty();
+      send();
+    }
+  }
+
+  private void endBlocked() {
+    if (mayHaveRun) {
+      endUnserved(CRASHES_UPSTREAMS);
+    } else {
+      refuse(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS);
+    }
+  }
+
+  private void awaitVerdict() {
+    long now = forwarder.scheduler().nowMillis();
+    suspectSinceMillis = suspectSinceMillis == 0 ? now : suspectSinceMillis;
+    if (now - suspectSinceMillis < MAX_SUSPECT_WAIT_MILLIS) {
+      forwarder.scheduler().schedule(SUSPECT_POLL_MILLIS, this::dispatch);
+    } else {
+      endUnserved("the cause of recent crashes is examined");
+    }
+  }
+
+  /** Ends the request if it is blocked and no upstream has begun to answer it. */
+  void endIfBlocked() {
+    boolean isAnswering =
+        streamBegun || (attempt != null && attempt.progress() == AttemptProgress.ANSWERING);
+    if (!ended && attempt != null && !isAnswering && forwarder.crashes().isBlocked(this::traits)) {
+      cancelAttempt("crashes upstreams");
+      endBlocked();
+    }
+  }
+
+  private void send() {
     Optional<UpstreamSelector.Choice> choice =
-        forwarder.chooseUpstream(service.name(), request.prompt(), triedUpstreams);
+        suspect
+            .map(
+                s ->
+                    forwarder.chooseUpstreamForSuspect(
+                        service.name(), request.prompt(), triedUpstreams, s.placementKey()))
+            .orElseGet(
+                () -> forwarder.chooseUpstream(service.name(), request.prompt(), triedUpstreams));
     if (choice.isEmpty()) {
+      releaseSuspect();
       endUnserved("no upstream of " + service.name() + " is left");
       return;
     }
@@ -169,7 +261,13 @@
                     .recordPrompt(p, service.cacheCapacityTokens()));
     attempt =
         new ForwardAttempt(
-            forwarder, this, route, upstream, choice.get().prefillTokens(), lastEventId);
+            forwarder,
+            this,
+            route,
+            this::traits,
+            upstream,
+            choice.get().prefillTokens(),
+            lastEventId);
     attempt.start(outgoing);
   }
 
@@ -196,6 +294,7 @@
   @Override
   public void onStreamBegin(int status, List<HeaderField> fields) {
     promptProcessed = true;
+    releaseSuspect();
     if (!streamBegun) {
       streamBegun = true;
       firstEventAtMillis = forwarder.scheduler().nowMillis();
@@ -221,13 +320,29 @@
 
   @Override
   public void onFailed(AttemptOutcome outcome, String reason) {
+    final UpstreamEntry upstream = attempt.upstream();
+    final boolean mayBeCause =
+        outcome == AttemptOutcome.BROKEN
+            && attempt.progress() == AttemptProgress.STARTED
+            && forwarder.crashes().hasCrashed(upstream);
     recordAttemptResult(outcome + " " + reason);
     if (outcome == AttemptOutcome.NOT_SENT) {
       sentAttempts--;
       unsentAttempts++;
     }
     mayHaveRun |= outcome.mayHaveRun();
-    if (!retry(outcome)) {
+    if (mayBeCause && !streamBegun) {
+      forwarder
+          .scheduler()
+          .schedule(CRASH_CHECK_MILLIS, () -> retryUnlessCrashed(upstream, outcome, reason));
+    } else if (!retry(outcome)) {
+      endUnserved(outcome + " " + reason);
+    }
+  }
+
+  /** A request that was started last when its upstream ended is not sent to another one. */
+  private void retryUnlessCrashed(UpstreamEntry upstream, AttemptOutcome outcome, String reason) {
+    if (!ended && (forwarder.crashes().hasCrashed(upstream) || !retry(outcome))) {
       endUnserved(outcome + " " + reason);
     }
   }
@@ -253,6 +368,12 @@
     attemptResults.add(attempt.upstream().id() + "@" + after + " " + result);
     attemptProgress.add(attempt.progress().name());
     attempt = null;
+    releaseSuspect();
+  }
+
+  private void releaseSuspect() {
+    suspect.ifPresent(forwarder.crashes()::release);
+    suspect = Optional.empty();
   }
 
   private void endUnserved(String reason) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -39,6 +39,7 @@
   private final UpstreamTransport transport;
   private final PrepaidBudgets budgets;
   private final LoadExchange loads;
+  private final UpstreamCrashes crashes;
   private final ForwardSettings settings;
   private final DecisionLog log;
   private final LongSupplier random;
@@ -56,6 +57,7 @@
    * @param transport sends requests to upstreams
    * @param budgets prepaid tokens
    * @param loads loads of the upstreams
+   * @param crashes requests that crash upstreams
    * @param settings settings
    * @param log receives a line for each request
    * @param random source of random bits
@@ -67,6 +69,7 @@
       UpstreamTransport transport,
       PrepaidBudgets budgets,
       LoadExchange loads,
+      UpstreamCrashes crashes,
       ForwardSettings settings,
       DecisionLog log,
       LongSupplier random) {
@@ -75,9 +78,11 @@
     this.transport = Objects.requireNonNull(transport, "transport");
     this.budgets = Objects.requireNonNull(budgets, "budgets");
     this.loads = Objects.requireNonNull(loads, "loads");
+    this.crashes = Objects.requireNonNull(crashes, "crashes");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
+    crashes.onNewBlock(() -> List.copyOf(running).forEach(ForwardTask::endIfBlocked));
   }
 
   /** Handle through which the caller's connection controls a request in progress. */
@@ -222,6 +227,17 @@
   Optional<UpstreamSelector.Choice> chooseUpstream(
       String service, Optional<PromptShape> prompt, Set<String> tried) {
     long now = scheduler.nowMillis();
+    return UpstreamSelector.choose(
+        candidates(service, tried, now), prompt, settings.failureDomain(), now, random);
+  }
+
+  Optional<UpstreamSelector.Choice> chooseUpstreamForSuspect(
+      String service, Optional<PromptShape> prompt, Set<String> tried, String placementKey) {
+    long now = scheduler.nowMillis();
+    return UpstreamSelector.chooseByKey(candidates(service, tried, now), prompt, placementKey, now);
+  }
+
+  private List<UpstreamSelector.Candidate> candidates(String service, Set<String> tried, long now) {
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
@@ -229,7 +245,11 @@
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
-    return UpstreamSelector.choose(candidates, prompt, settings.failureDomain(), now, random);
+    return candidates;
+  }
+
+  UpstreamCrashes crashes() {
+    return crashes;
   }
 
   ResponseBuffers responseBuffers() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Refusal.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Refusal.java
@@ -22,6 +22,8 @@
     UNKNOWN_KEY,
     /** The remaining prepaid tokens of the client account do not cover the request. */
     BUDGET_EXHAUSTED,
+    /** Requests like this one crash upstreams; this one did not run and never will. */
+    CRASHES_UPSTREAMS,
     /** The request did not run and never will; it may be retried. */
     NOT_RUN,
     /** No usable response was received; the request may have run. */
@@ -37,7 +39,10 @@
      * @return true if the request did not run and never will
      */
     public boolean statesNotRun() {
-      return this == NOT_CONFIGURED || this == CONFIGURATION_OUTDATED || this == NOT_RUN;
+      return switch (this) {
+        case NOT_CONFIGURED, CONFIGURATION_OUTDATED, CRASHES_UPSTREAMS, NOT_RUN -> true;
+        default -> false;
+      };
     }
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/CrashMonitor.java
@@ -18,6 +18,7 @@
 import org.hibiscusreel.core.crash.CrashDetector;
 import org.hibiscusreel.core.crash.CrashDetector.Sighting;
 import org.hibiscusreel.core.crash.CrashDetector.Verdict;
+import org.hibiscusreel.core.crash.CrashPolicy;
 import org.hibiscusreel.wire.CrashEntry;
 import org.hibiscusreel.wire.CrashReport;
 import org.hibiscusreel.wire.CrashReportResponse;
@@ -57,7 +58,7 @@
     }
   }
 
-  private final CrashDetector fingerprints = new CrashDetector();
+  private final CrashDetector fingerprints = new CrashDetector(CrashPolicy.WHOLE_REQUESTS);
   private final Map<String, StreamBreak> lastBreaks = new HashMap<>();
   private final Scheduler scheduler;
   private final PeerTransport peers;
@@ -72,11 +73,16 @@
   }
 
   Verdict evaluate(String fingerprint) {
-    return fingerprints.judge(fingerprint, scheduler.wallMillis());
+    return fingerprints.judge(Set.of(fingerprint), scheduler.wallMillis());
+  }
+
+  /** Records that a suspect is dispatched. */
+  void onSuspectDispatched(String fingerprint) {
+    fingerprints.onDispatched(Set.of(fingerprint), scheduler.wallMillis());
   }
 
   void onCompleted(String fingerprint) {
-    fingerprints.onCompleted(fingerprint, scheduler.wallMillis());
+    fingerprints.onCompleted(Set.of(fingerprint), scheduler.wallMillis());
   }
 
   /** Records that a stream broke; called before the request is removed from the engine. */
@@ -121,12 +127,13 @@
   private void report(List<Sighting> sightings) {
     CrashReport.Builder b = CrashReport.newBuilder().setStamp(recorder.stamp());
     for (Sighting s : sightings) {
-      if (!HEX.matcher(s.fingerprint()).matches()) {
+      String fingerprint = s.traits().iterator().next();
+      if (!HEX.matcher(fingerprint).matches()) {
         continue;
       }
       b.addEntries(
           CrashEntry.newBuilder()
-              .setFingerprint(ByteString.copyFrom(HexFormat.of().parseHex(s.fingerprint())))
+              .setFingerprint(ByteString.copyFrom(HexFormat.of().parseHex(fingerprint)))
               .setUpstream(s.upstream())
               .setObservedAtMillis(s.atMillis()));
     }
@@ -148,7 +155,7 @@
     for (CrashEntry e : report.getEntriesList()) {
       if (sightings.size() < MAX_ENTRIES) {
         String hex = HexFormat.of().formatHex(e.getFingerprint().toByteArray());
-        sightings.add(new Sighting(hex, e.getUpstream(), e.getObservedAtMillis()));
+        sightings.add(new Sighting(Set.of(hex), false, e.getUpstream(), e.getObservedAtMillis()));
       }
     }
     fingerprints.onReport(sightings);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/request/ModelCallTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/request/ModelCallTask.java
@@ -100,6 +100,9 @@
       return;
     }
     suspect = verdict == Verdict.SUSPECT;
+    if (suspect) {
+      context.crashMonitor().onSuspectDispatched(request.fingerprint());
+    }
     if (context.upstreams().isServed(requirements())) {
       context.slotQueue().startOrEnqueue(this, admittedRequest);
     } else {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -32,13 +32,14 @@
   static final long MAX_PAUSE_MILLIS = 100;
   static final long CONFIGURATION_BOUND_MILLIS = 3_000;
 
-  final VirtualScheduler scheduler = new VirtualScheduler();
-  final FakeTable table = new FakeTable(scheduler);
+  final VirtualScheduler scheduler;
+  final FakeTable table;
   final UpstreamCatalog upstreams = new UpstreamCatalog();
   final List<Sent> sent = new ArrayList<>();
   final List<String> callerEvents = new ArrayList<>();
   final List<Map<String, Object>> logLines = new ArrayList<>();
   final PrepaidBudgets budgets;
+  final UpstreamCrashes crashes;
   final Forwarder forwarder;
   Refusal refusal;
   boolean callerAcceptsMore = true;
@@ -98,7 +99,25 @@
     }
   }
 
+  /** Terms of the only route. */
+  record RouteTerms(RetryPolicy retryPolicy, boolean streamed, int maxAttempts) {}
+
   ForwardHarness(RetryPolicy retryPolicy, boolean streamed, int maxAttempts, int upstreamCount) {
+    this(
+        new VirtualScheduler(),
+        new NoOpCrashTransport(),
+        "d",
+        new RouteTerms(retryPolicy, streamed, maxAttempts));
+    for (int i = 0; i < upstreamCount; i++) {
+      upstreams.put(new UpstreamEntry("u" + i, "s", "127.0.0.1:" + i, "here", false, 4, 0));
+    }
+  }
+
+  /** Creates one of several daemons on the same clock, without upstreams. */
+  ForwardHarness(
+      VirtualScheduler scheduler, CrashTransport crashTransport, String address, RouteTerms terms) {
+    this.scheduler = scheduler;
+    this.table = new FakeTable(scheduler);
     this.budgets =
         new PrepaidBudgets(
             table,
@@ -108,6 +127,7 @@
             800,
             this::daemonCount,
             (e, f) -> {});
+    this.crashes = new UpstreamCrashes(scheduler, crashTransport, address, (e, f) -> {});
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -115,6 +135,7 @@
             this,
             budgets,
             new LoadExchange(scheduler, new NoOpLoadTransport(), "d.1", () -> 0, v -> {}),
+            crashes,
             new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
             () -> 0);
@@ -123,14 +144,14 @@
             "r",
             "h",
             "/a/",
-            retryPolicy,
-            streamed,
+            terms.retryPolicy(),
+            terms.streamed(),
             TIMEOUT_MILLIS,
             TARGET_MILLIS,
             MAX_PAUSE_MILLIS,
             1,
             List.of(new WeightedService("s", 1)),
-            maxAttempts,
+            terms.maxAttempts(),
             false);
     AccountSettings account =
         new AccountSettings(ACCOUNT, OptionalInt.empty(), OptionalLong.of(PREPAID_TOKENS));
@@ -143,9 +164,6 @@
             List.of(account),
             Map.of("key", ACCOUNT));
     budgets.updateAccounts(current.accounts());
-    for (int i = 0; i < upstreamCount; i++) {
-      upstreams.put(new UpstreamEntry("u" + i, "s", "127.0.0.1:" + i, "here", false, 4, 0));
-    }
   }
 
   Forwarder.Handle serve(CallerRequest request) {
@@ -168,11 +186,20 @@
         new byte[0]);
   }
 
+  static CallerRequest prompt(String... parts) {
+    return promptOf(Arrays.stream(parts).map(id -> new PromptShape.Part(id, 100)).toList(), 50);
+  }
+
   static CallerRequest prompt(long promptTokens, long maxOutputTokens) {
-    return prompt(List.of(new PromptShape.Part("p", promptTokens)), maxOutputTokens);
+    return promptOf(List.of(new PromptShape.Part("p", promptTokens)), maxOutputTokens);
+  }
+
+  /** Prompt of so few tokens that thousands fit into the budget. */
+  static CallerRequest smallPrompt(String... parts) {
+    return promptOf(Arrays.stream(parts).map(id -> new PromptShape.Part(id, 1)).toList(), 1);
   }
 
-  private static CallerRequest prompt(List<PromptShape.Part> parts, long maxOutputTokens) {
+  private static CallerRequest promptOf(List<PromptShape.Part> parts, long maxOutputTokens) {
     long promptTokens = parts.stream().mapToLong(PromptShape.Part::tokens).sum();
     PromptShape shape = new PromptShape(promptTokens, maxOutputTokens, parts);
     return new CallerRequest(
@@ -185,11 +212,7 @@
         Optional.of(5_000L),
         Optional.of(shape),
         List.of(),
-        new byte[0]);
-  }
-
-  static CallerRequest prompt(String... parts) {
-    return prompt(Arrays.stream(parts).map(id -> new PromptShape.Part(id, 100)).toList(), 50);
+        String.valueOf(parts).getBytes(StandardCharsets.UTF_8));
   }
 
   Sent last() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -126,6 +126,7 @@
     h.last().fail(AttemptOutcome.BROKEN);
     h.last().head(200);
     h.last().fail(AttemptOutcome.BROKEN);
+    h.scheduler.run(ForwardTask.CRASH_CHECK_MILLIS);
     Map<String, Object> line = h.logLines.get(h.logLines.size() - 1);
     assertThat(line).containsEntry("attempt_progress", List.of("WAITING", "STARTED"));
     assertThat(line).containsEntry("prompt_parts", List.of("common", "special"));
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamCrashesTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamCrashesTest.java
@@ -2,14 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.stream.LongStream;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class UpstreamCrashesTest {
 
   private static final int ALLOWED_CRASHES = 5;
+  private static final int ALLOWED_ARRIVALS = 3;
+  private static final long CONTACT_MILLIS = 3_000;
 
   private static ForwardHarness harness() {
     return new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 12);
@@ -54,4 +59,107 @@
         .hasSizeLessThanOrEqualTo(ALLOWED_CRASHES);
     assertThat(h.sent.stream().filter(s -> contains(s, "sound"))).hasSize(12);
   }
+
+  /**
+   * Guards against requests with a crashing part that go on reaching upstreams, and against sound
+   * ones that are refused for them, while reports are lost, upstreams end for other reasons and
+   * daemons are started.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void stopsCrashingPartAcrossDaemons(long seed) {
+    CrashSimulation s = new CrashSimulation(seed, 0.2, 6, 10);
+    s.run(2_000);
+    int own = 0;
+    for (int step = 0; step < 1_500; step++) {
+      own++;
+      String daemon = "d" + s.random.nextInt(6);
+      if (s.random.nextInt(10) == 0) {
+        s.serve(daemon, "common", CrashSimulation.DEADLY, "own" + own);
+      } else if (s.random.nextBoolean()) {
+        s.serve(daemon, "common", "rare" + s.random.nextInt(40), "own" + own);
+      } else {
+        s.serve(daemon, "other" + s.random.nextInt(40), "own" + own);
+      }
+      if (s.random.nextInt(300) == 0) {
+        s.endSome(1 + s.random.nextInt(6));
+      }
+      if (s.random.nextInt(300) == 0) {
+        s.startDaemon("d" + s.random.nextInt(6));
+      }
+      s.run(20);
+    }
+    int counted = Math.min(ALLOWED_CRASHES, s.crashesByRequest.size());
+    long settledMillis = s.crashesByRequest.get(counted - 1) + CONTACT_MILLIS;
+    assertThat(s.arrivals.stream().filter(a -> a.parts().contains(CrashSimulation.DEADLY)))
+        .filteredOn(a -> a.atMillis() > settledMillis)
+        .hasSizeLessThanOrEqualTo(ALLOWED_ARRIVALS);
+    int before = s.arrivals.size();
+    for (int i = 0; i < 200; i++) {
+      s.serve("d" + i % 6, "common", "rare" + i % 40, "late" + i);
+      s.run(20);
+    }
+    assertThat(s.arrivals.size() - before).isGreaterThan(200 * 9 / 10);
+  }
+
+  /** Returns fixed seeds; runs by hand set others by system properties. */
+  static LongStream seeds() {
+    long first = Long.getLong("crash.seed", 1);
+    return LongStream.range(first, first + Integer.getInteger("crash.seeds", 20));
+  }
+
+  /** Guards against a daemon that starts after the crashes and has to find them out again. */
+  @Test
+  void startedDaemonLearnsBlocksBeforeItServes() {
+    CrashSimulation s = new CrashSimulation(1, 0, 3, 10);
+    s.run(2_000);
+    for (int i = 0; i < 3; i++) {
+      s.serve("d0", "common", CrashSimulation.DEADLY, "own" + i);
+      s.run(1_000);
+    }
+    final int before = s.arrivals.size();
+    s.startDaemon("d2");
+    assertThat(s.daemons.get("d2").crashes.isInformed()).isFalse();
+    s.run(50);
+    assertThat(s.daemons.get("d2").crashes.isInformed()).isTrue();
+    s.serve("d2", "common", CrashSimulation.DEADLY, "own");
+    s.run(1_000);
+    assertThat(s.arrivals).hasSize(before);
+  }
+
+  /** Guards against a daemon that waits for ever for others that do not answer. */
+  @Test
+  void startedDaemonServesWithoutAnswer() {
+    CrashSimulation s = new CrashSimulation(1, 1, 3, 10);
+    s.run(UpstreamCrashes.MAX_UNINFORMED_MILLIS);
+    assertThat(s.daemons.get("d2").crashes.isInformed()).isTrue();
+  }
+
+  /** Guards against a refusal that hides that the request may have run. */
+  @Test
+  void tellsWhetherTheStoppedRequestMayHaveRun() {
+    ForwardHarness h = harness();
+    for (int i = 0; i < 3; i++) {
+      serveAndCrash(h, "deadly", "own" + i);
+    }
+    assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.FAILED);
+    h.scheduler.run(1_000);
+    serveAndCrash(h, "deadly", "own");
+    assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.CRASHES_UPSTREAMS);
+    assertThat(h.refusal.kind().statesNotRun()).isTrue();
+    assertThat(h.refusal.retryAfterMillis()).isZero();
+  }
+
+  /** Guards against requests that are at an upstream when the verdict comes and end it too. */
+  @Test
+  void takesBlockedRequestsBackFromUpstreams() {
+    ForwardHarness h = harness();
+    h.serve(ForwardHarness.prompt("deadly", "early"));
+    final ForwardHarness.Sent early = h.last();
+    serveAndCrash(h, "deadly", "own1");
+    h.scheduler.run(1_000);
+    serveAndCrash(h, "deadly", "own2");
+    h.scheduler.run(1_000);
+    assertThat(early.cancelled).isTrue();
+  }
 }
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
@@ -2,98 +2,229 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * Detects requests that crash the upstreams that execute them. A fingerprint is blocked if it was
- * the only one that the upstream was executing at the time of a crash, or if it is the only one
- * common to two crashes. The reports of several daemons about the same crash are merged into one
- * cohort. Not thread-safe.
+ * Detects what in requests crashes the upstreams that execute them. A request is known by its
+ * traits, such as a fingerprint of its content and the parts of its prompt. The traits that are
+ * common to several crashes, and of which no request was answered since, are blocked together:
+ * requests with all of them are stopped, and each trait that turns out to be harmless is removed
+ * from the set. The reports of several daemons about the same crash are merged into one cohort. Not
+ * thread-safe.
  */
 public final class CrashDetector {
-  /** Number of crashes at which a request is held back until a verdict is reached. */
-  public static final int MAX_CRASHES = 2;
 
   /** Time for which a crash is remembered, in milliseconds. */
   public static final long RETENTION_MILLIS = 600_000;
 
-  /** Time for which a fingerprint stays blocked, in milliseconds. */
+  /** Time for which traits stay blocked after the last request with them, in milliseconds. */
   public static final long BLOCK_MILLIS = 86_400_000;
 
+  /**
+   * Interval in milliseconds at which one request with blocked traits is let through, so that a
+   * wrong verdict does not last.
+   */
+  public static final long TRIAL_INTERVAL_MILLIS = 600_000;
+
   /** Time within which reports about one upstream refer to the same crash, in milliseconds. */
   public static final long SAME_CRASH_MILLIS = 5_000;
 
   /**
-   * Time to wait for the reports of other daemons before a cohort is evaluated, in milliseconds.
+   * Time after a crash from which bytes of the upstream refute it, in milliseconds. Bytes that it
+   * sent before may arrive a little later than the report of another daemon.
    */
-  public static final long REPORT_GRACE_MILLIS = 1_000;
+  public static final long LIFE_SIGN_DELAY_MILLIS = 100;
 
+  /** Time that an upstream takes at least to start again, in milliseconds. */
+  public static final long SHORTEST_RESTART_MILLIS = 1_000;
+
+  private static final long EVALUATION_MILLIS = 5_000;
   private static final int MAX_STORED_CRASHES = 1_000;
-  private static final int MAX_BLOCKED = 10_000;
+  private static final int MAX_STORED_TRAITS = 20_000;
+  private static final int MAX_TRAITS_PER_CRASH = 500;
+  private static final int MAX_BLOCKS = 500;
+  private static final int MAX_CLEARANCES = 2_000;
 
   /**
-   * Fingerprint of a request that was being executed at the time of a crash.
+   * Request that an upstream had not answered when it crashed.
    *
-   * @param fingerprint SHA-256 of the normalized content, in hexadecimal
+   * @param traits traits of the request
+   * @param started whether the upstream had just begun to execute the request
    * @param upstream upstream that crashed
-   * @param atMillis wall-clock time in milliseconds since the epoch
+   * @param atMillis time of the crash in milliseconds
+   */
+  public record Sighting(Set<String> traits, boolean started, String upstream, long atMillis) {
+
+    /** Copies the set. */
+    public Sighting {
+      traits = Set.copyOf(traits);
+    }
+  }
+
+  /**
+   * Traits that crash upstreams if a request has all of them.
+   *
+   * @param epochs the traits, each with the number of times that it had been cleared
    */
-  public record Sighting(String fingerprint, String upstream, long atMillis) {}
+  public record Block(Map<String, Long> epochs) {
+
+    /** Copies the map. */
+    public Block {
+      epochs = Map.copyOf(epochs);
+    }
+  }
+
+  /**
+   * Statement that requests with a trait were answered. One with a higher epoch replaces others.
+   *
+   * @param trait the trait
+   * @param epoch number of times that the trait was cleared
+   * @param atMillis time of the answer in milliseconds
+   */
+  public record Clearance(String trait, long epoch, long atMillis) {}
+
+  /** Verdict on whether a request may be dispatched. */
+  public enum Verdict {
+    /** The request is not suspected. */
+    CLEAR,
+    /**
+     * The request was in flight at one crash; it must not share an upstream with another suspect.
+     */
+    SUSPECT,
+    /** The request was in flight at several crashes, and the cause is not known yet. */
+    UNDECIDED,
+    /** The request is the cause of a crash. */
+    BLOCKED
+  }
 
   private static final class Crash {
     final String upstream;
     final long atMillis;
-    final Set<String> cohort = new HashSet<>();
+    final Set<String> startedTraits = new HashSet<>();
+    final Set<String> waitingTraits = new HashSet<>();
+    Set<String> explanation = Set.of();
+    boolean withdrawn;
 
     Crash(String upstream, long atMillis) {
       this.upstream = upstream;
       this.atMillis = atMillis;
     }
+
+    /** Returns the traits of the requests that may have caused the crash. */
+    Set<String> cohort() {
+      return hasStarted() ? startedTraits : waitingTraits;
+    }
+
+    boolean hasStarted() {
+      return !startedTraits.isEmpty();
+    }
+
+    int size() {
+      return startedTraits.size() + waitingTraits.size();
+    }
   }
 
+  private static final class BlockState {
+    long lastRequestAtMillis;
+    long lastTrialAtMillis;
+
+    BlockState(long atMillis) {
+      this.lastRequestAtMillis = atMillis;
+      this.lastTrialAtMillis = atMillis;
+    }
+  }
+
+  private final CrashPolicy policy;
   private final Deque<Crash> crashes = new ArrayDeque<>();
-  private final Map<String, Long> blocked = new LinkedHashMap<>();
-  private final Map<String, Long> cleared = new LinkedHashMap<>();
+  private final Map<Set<String>, BlockState> blocks = new LinkedHashMap<>();
+  private final Map<String, Clearance> clearances = new LinkedHashMap<>();
+  private int storedTraits;
 
   /**
-   * Records a crash that this daemon observed.
+   * Creates a detector without evidence.
+   *
+   * @param policy how much evidence leads to a verdict
+   * @throws NullPointerException if the argument is null
+   */
+  public CrashDetector(CrashPolicy policy) {
+    this.policy = Objects.requireNonNull(policy, "policy");
+  }
+
+  /**
+   * Tells whether there is neither evidence nor a verdict, so that each request is clear.
+   *
+   * @return true if nothing is known
+   */
+  public boolean isIdle() {
+    return crashes.isEmpty() && blocks.isEmpty();
+  }
+
+  /**
+   * Records a crash that this daemon observed, of requests that are known by one trait each.
    *
    * @param upstream the upstream
-   * @param inFlight fingerprints of the requests that it was executing for this daemon
+   * @param inFlight traits of the requests that it was executing for this daemon
    * @param alone whether it is known that it was executing no other requests
-   * @param atMillis wall-clock time in milliseconds since the epoch
+   * @param atMillis time in milliseconds
    * @return the sightings to report to the other daemons
    */
   public List<Sighting> onCrash(
       String upstream, Set<String> inFlight, boolean alone, long atMillis) {
     List<Sighting> result = new ArrayList<>();
-    for (String f : inFlight) {
-      result.add(new Sighting(f, upstream, atMillis));
+    for (String t : inFlight) {
+      result.add(new Sighting(Set.of(t), false, upstream, atMillis));
     }
     onReport(result);
     if (alone && inFlight.size() == 1) {
-      block(inFlight.iterator().next(), atMillis);
+      block(Set.copyOf(inFlight), atMillis);
     }
     return result;
   }
 
   /**
-   * Processes the sightings of another daemon.
+   * Records a request that this daemon saw broken off.
+   *
+   * @param sighting the request
+   */
+  public void onCrash(Sighting sighting) {
+    findOrAddCrash(sighting).withdrawn = false;
+    onReport(List.of(sighting));
+  }
+
+  /**
+   * Processes sightings of this or another daemon. A sighting may be passed repeatedly.
    *
    * @param sightings the sightings
    */
-  public void onReport(List<Sighting> sightings) {
+  public void onReport(Collection<Sighting> sightings) {
     for (Sighting s : sightings) {
-      findOrAddCrash(s).cohort.add(s.fingerprint());
+      Crash c = findOrAddCrash(s);
+      int before = c.size();
+      if (before + s.traits().size() <= MAX_TRAITS_PER_CRASH) {
+        (s.started() ? c.startedTraits : c.waitingTraits).addAll(s.traits());
+      }
+      storedTraits += c.size() - before;
+      explain(c);
+      blocks.forEach(
+          (traits, state) -> {
+            if (s.traits().containsAll(traits)) {
+              state.lastTrialAtMillis = Math.max(state.lastTrialAtMillis, s.atMillis());
+            }
+          });
     }
-    while (crashes.size() > MAX_STORED_CRASHES) {
-      crashes.removeFirst();
+    while (crashes.size() > MAX_STORED_CRASHES || storedTraits > MAX_STORED_TRAITS) {
+      storedTraits -= crashes.removeFirst().size();
     }
   }
 
@@ -111,84 +242,352 @@
     return c;
   }
 
-  private void block(String fingerprint, long atMillis) {
-    blocked.put(fingerprint, atMillis);
-    trim(blocked);
+  /** A crash that blocked traits caused is no evidence against other traits. */
+  private void explain(Crash crash) {
+    crash.explanation =
+        blocks.keySet().stream().filter(crash.cohort()::containsAll).findFirst().orElse(Set.of());
   }
 
-  private static void trim(Map<String, Long> map) {
-    Iterator<String> oldest = map.keySet().iterator();
-    while (map.size() > MAX_BLOCKED) {
-      oldest.next();
-      oldest.remove();
+  /**
+   * Withdraws the crash of an upstream from which bytes arrived after it. Reports of it that come
+   * later count no more.
+   *
+   * @param upstream the upstream
+   * @param sentAtMillis time at which the request that it answers was sent; a request that was sent
+   *     long after the crash shows only that the upstream was started again
+   * @param nowMillis time in milliseconds
+   * @return true if a crash was withdrawn
+   */
+  public boolean onAlive(String upstream, long sentAtMillis, long nowMillis) {
+    boolean withdrewAny = false;
+    for (Crash c : crashes) {
+      boolean isRefuted =
+          c.upstream.equals(upstream)
+              && nowMillis - c.atMillis >= LIFE_SIGN_DELAY_MILLIS
+              && sentAtMillis - c.atMillis < SHORTEST_RESTART_MILLIS;
+      if (isRefuted && !c.withdrawn) {
+        c.withdrawn = true;
+        withdrewAny = true;
+      }
     }
+    return withdrewAny;
   }
 
-  /** Verdict on whether a request may be dispatched. */
-  public enum Verdict {
-    /** The request is not suspected. */
-    CLEAR,
-    /**
-     * The request was in flight at one crash; it must not share an upstream with another suspect.
-     */
-    SUSPECT,
-    /** The request was in flight at several crashes, and the cause is not known yet. */
-    UNDECIDED,
-    /** The request is the cause of a crash. */
-    BLOCKED
+  /**
+   * Tells whether a crash of the upstream is known.
+   *
+   * @param upstream the upstream
+   * @return true if it crashed and the crash was not withdrawn
+   */
+  public boolean hasCrashed(String upstream) {
+    return crashes.stream().anyMatch(c -> !c.withdrawn && c.upstream.equals(upstream));
+  }
+
+  /**
+   * Records that a request was dispatched, which may be the trial of blocked traits.
+   *
+   * @param traits traits of the request
+   * @param nowMillis time in milliseconds
+   */
+  public void onDispatched(Set<String> traits, long nowMillis) {
+    blocks.forEach(
+        (blocked, state) -> {
+          if (traits.containsAll(blocked)) {
+            state.lastTrialAtMillis = nowMillis;
+          }
+        });
   }
 
   /**
    * Returns the verdict on a request.
    *
-   * @param fingerprint SHA-256 of the normalized content, in hexadecimal
-   * @param wallMillis wall-clock time in milliseconds since the epoch
+   * @param traits traits of the request
+   * @param nowMillis time in milliseconds
    * @return the verdict
    */
-  public Verdict judge(String fingerprint, long wallMillis) {
-    Long blockedAtMillis = blocked.get(fingerprint);
-    if (blockedAtMillis != null && blockedAtMillis + BLOCK_MILLIS >= wallMillis) {
-      return Verdict.BLOCKED;
+  public Verdict judge(Set<String> traits, long nowMillis) {
+    expire(nowMillis);
+    Verdict worst = judgeBlocks(traits, nowMillis);
+    for (String t : traits) {
+      if (worst != Verdict.BLOCKED) {
+        Verdict v = judgeEvidence(t, traits, nowMillis);
+        worst = v.compareTo(worst) > 0 ? v : worst;
+      }
+    }
+    return worst;
+  }
+
+  private Verdict judgeBlocks(Set<String> traits, long nowMillis) {
+    Verdict worst = Verdict.CLEAR;
+    for (Map.Entry<Set<String>, BlockState> e : blocks.entrySet()) {
+      if (traits.containsAll(e.getKey())) {
+        BlockState state = e.getValue();
+        state.lastRequestAtMillis = nowMillis;
+        if (nowMillis - state.lastTrialAtMillis < TRIAL_INTERVAL_MILLIS) {
+          return Verdict.BLOCKED;
+        }
+        worst = Verdict.SUSPECT;
+      }
     }
-    crashes.removeIf(c -> c.atMillis + RETENTION_MILLIS < wallMillis);
-    if (crashes.isEmpty()) {
+    return worst;
+  }
+
+  private Verdict judgeEvidence(String trait, Set<String> traits, long nowMillis) {
+    List<Crash> involving = crashes.stream().filter(c -> isInvolved(c, trait)).toList();
+    if (involving.isEmpty()) {
       return Verdict.CLEAR;
     }
-    List<Crash> crashesInvolving = crashesInvolving(fingerprint);
-    if (crashesInvolving.size() < MAX_CRASHES) {
-      return crashesInvolving.isEmpty() ? Verdict.CLEAR : Verdict.SUSPECT;
+    List<Crash> unexplained = involving.stream().filter(c -> isUnexplained(c, trait)).toList();
+    List<Crash> started = unexplained.stream().filter(Crash::hasStarted).toList();
+    boolean isStartedEnough = episodes(started) >= policy.startedEpisodes();
+    if (!isStartedEnough && episodes(unexplained) < policy.waitingEpisodes()) {
+      boolean isSuspect =
+          involving.stream().anyMatch(Crash::hasStarted)
+              || episodes(involving) >= policy.waitingSuspicion();
+      return isSuspect ? Verdict.SUSPECT : Verdict.CLEAR;
     }
-    long newestMillis = crashesInvolving.stream().mapToLong(c -> c.atMillis).max().orElse(0);
-    if (newestMillis + REPORT_GRACE_MILLIS > wallMillis) {
+    long newestMillis = unexplained.stream().mapToLong(c -> c.atMillis).max().orElse(0);
+    if (newestMillis + policy.reportGraceMillis() > nowMillis) {
       return Verdict.UNDECIDED;
     }
-    Set<String> commonFingerprints = new HashSet<>(crashesInvolving.get(0).cohort);
-    crashesInvolving.forEach(c -> commonFingerprints.retainAll(c.cohort));
-    if (commonFingerprints.size() == 1) {
-      block(fingerprint, wallMillis);
-      return Verdict.BLOCKED;
+    Set<String> common = commonTraits(isStartedEnough ? started : unexplained);
+    block(common, nowMillis);
+    return traits.containsAll(common) ? Verdict.BLOCKED : Verdict.SUSPECT;
+  }
+
+  private boolean isInvolved(Crash crash, String trait) {
+    if (crash.withdrawn || !crash.cohort().contains(trait)) {
+      return false;
+    }
+    Clearance c = clearances.get(trait);
+    return c == null || crash.atMillis > c.atMillis();
+  }
+
+  private static boolean isUnexplained(Crash crash, String trait) {
+    return crash.explanation.isEmpty() || crash.explanation.contains(trait);
+  }
+
+  private int episodes(List<Crash> list) {
+    int count = 0;
+    long lastMillis = 0;
+    for (long at : list.stream().mapToLong(c -> c.atMillis).sorted().toArray()) {
+      if (count == 0 || at - lastMillis >= policy.episodeMillis()) {
+        count++;
+        lastMillis = at;
+      }
+    }
+    return count;
+  }
+
+  private Set<String> commonTraits(List<Crash> list) {
+    Set<String> common = new HashSet<>(list.get(0).cohort());
+    list.forEach(c -> common.removeIf(t -> !isInvolved(c, t)));
+    return common;
+  }
+
+  /**
+   * Blocks the traits that the evidence of recent crashes proves to crash upstreams.
+   *
+   * @param nowMillis time in milliseconds
+   * @return true if there is a new block
+   */
+  public boolean blockProven(long nowMillis) {
+    expire(nowMillis);
+    Set<String> suspects = new HashSet<>();
+    crashes.stream()
+        .filter(c -> nowMillis - c.atMillis < EVALUATION_MILLIS)
+        .forEach(c -> suspects.addAll(c.cohort()));
+    Set<Set<String>> before = Set.copyOf(blocks.keySet());
+    suspects.forEach(t -> judgeEvidence(t, Set.of(t), nowMillis));
+    return !before.containsAll(blocks.keySet());
+  }
+
+  private void block(Set<String> traits, long atMillis) {
+    if (traits.isEmpty() || blocks.keySet().stream().anyMatch(traits::containsAll)) {
+      return;
+    }
+    Set<String> block = Set.copyOf(traits);
+    blocks.keySet().removeIf(b -> b.containsAll(block));
+    blocks.put(block, new BlockState(atMillis));
+    trim(blocks.keySet(), MAX_BLOCKS);
+    for (Crash c : crashes) {
+      if (c.explanation.isEmpty() && c.cohort().containsAll(block)) {
+        c.explanation = block;
+      }
+    }
+    explainAgain();
+  }
+
+  /** Finds new explanations for the crashes whose block is gone. */
+  private void explainAgain() {
+    for (Crash c : crashes) {
+      if (!c.explanation.isEmpty() && !blocks.containsKey(c.explanation)) {
+        explain(c);
+      }
+    }
+  }
+
+  private static void trim(Set<?> keys, int limit) {
+    Iterator<?> oldest = keys.iterator();
+    while (keys.size() > limit) {
+      oldest.next();
+      oldest.remove();
     }
-    return Verdict.SUSPECT;
   }
 
-  private List<Crash> crashesInvolving(String fingerprint) {
-    long clearedAtMillis = cleared.getOrDefault(fingerprint, Long.MIN_VALUE);
-    return crashes.stream()
-        .filter(c -> c.atMillis > clearedAtMillis && c.cohort.contains(fingerprint))
+  /**
+   * Tells whether the reports of all known crashes had time to arrive.
+   *
+   * @param nowMillis time in milliseconds
+   * @return true if no crash is so recent that a verdict has to wait
+   */
+  public boolean isSettled(long nowMillis) {
+    return crashes.stream().allMatch(c -> c.atMillis + policy.reportGraceMillis() <= nowMillis);
+  }
+
+  /**
+   * Clears the traits of a request that an upstream answered, since a request that causes a crash
+   * is not answered.
+   *
+   * @param traits traits of the request
+   * @param nowMillis time in milliseconds
+   * @return traits that had been under suspicion, to be told to the other daemons
+   */
+  public List<Clearance> onCompleted(Set<String> traits, long nowMillis) {
+    List<Clearance> changed = new ArrayList<>();
+    if (isIdle()) {
+      return changed;
+    }
+    for (String t : traits) {
+      boolean isSuspect =
+          blocks.keySet().stream().anyMatch(b -> b.contains(t))
+              || crashes.stream().anyMatch(c -> isInvolved(c, t));
+      if (isSuspect) {
+        changed.add(new Clearance(t, epoch(t) + 1, nowMillis));
+      }
+    }
+    changed.forEach(this::clear);
+    return changed;
+  }
+
+  private long epoch(String trait) {
+    Clearance c = clearances.get(trait);
+    return c == null ? 0 : c.epoch();
+  }
+
+  private void clear(Clearance clearance) {
+    clearances.remove(clearance.trait());
+    clearances.put(clearance.trait(), clearance);
+    trim(clearances.keySet(), MAX_CLEARANCES);
+    List<Set<String>> affected =
+        blocks.keySet().stream().filter(b -> b.contains(clearance.trait())).toList();
+    for (Set<String> b : affected) {
+      BlockState state = blocks.remove(b);
+      Set<String> rest = new HashSet<>(b);
+      rest.remove(clearance.trait());
+      block(rest, state.lastRequestAtMillis);
+    }
+    explainAgain();
+  }
+
+  /**
+   * Processes a clearance of another daemon, which may be late or repeated.
+   *
+   * @param clearance the clearance
+   */
+  public void onClearance(Clearance clearance) {
+    if (clearance.epoch() > epoch(clearance.trait())) {
+      clear(clearance);
+    }
+  }
+
+  /**
+   * Processes a block of another daemon, which may be late or repeated. Traits that were cleared
+   * since are left out.
+   *
+   * @param block the block
+   * @param nowMillis time in milliseconds
+   * @return true if there is a new block
+   */
+  public boolean onBlock(Block block, long nowMillis) {
+    Set<String> traits = new HashSet<>();
+    block
+        .epochs()
+        .forEach(
+            (t, epoch) -> {
+              if (epoch >= epoch(t)) {
+                traits.add(t);
+              }
+            });
+    boolean isKnown = blocks.containsKey(traits);
+    block(traits, nowMillis);
+    return !isKnown && blocks.containsKey(traits);
+  }
+
+  /**
+   * Returns the blocks in force.
+   *
+   * @param nowMillis time in milliseconds
+   * @return the blocks, those with the most recent requests first
+   */
+  public List<Block> blocks(long nowMillis) {
+    expire(nowMillis);
+    return blocks.entrySet().stream()
+        .sorted(Comparator.comparingLong(e -> -e.getValue().lastRequestAtMillis))
+        .map(e -> new Block(e.getKey().stream().collect(Collectors.toMap(t -> t, this::epoch))))
         .toList();
   }
 
   /**
-   * Clears a request that completed, since a request that causes a crash does not complete.
+   * Returns the clearances that another daemon needs to know.
    *
-   * @param fingerprint SHA-256 of the normalized content, in hexadecimal
-   * @param wallMillis wall-clock time in milliseconds since the epoch
+   * @return the clearances
    */
-  public void onCompleted(String fingerprint, long wallMillis) {
-    if (!crashes.isEmpty()) {
-      cleared.remove(fingerprint);
-      cleared.put(fingerprint, wallMillis);
-      trim(cleared);
+  public List<Clearance> clearances() {
+    return List.copyOf(clearances.values());
+  }
+
+  /**
+   * Returns the traits of a request that are suspected or blocked by themselves.
+   *
+   * @param traits traits of the request
+   * @param nowMillis time in milliseconds
+   * @return the traits
+   */
+  public Set<String> suspectTraits(Set<String> traits, long nowMillis) {
+    Set<String> result = new HashSet<>();
+    for (String t : traits) {
+      if (judgeEvidence(t, Set.of(t), nowMillis) != Verdict.CLEAR
+          || blocks.keySet().stream().anyMatch(b -> b.contains(t))) {
+        result.add(t);
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Returns what the evidence against a request has in common, so that all daemons can send
+   * suspects of the same crashes to the same upstream.
+   *
+   * @param traits traits of the request
+   * @return the traits common to the crashes that involve the request, or empty if there are none
+   */
+  public Optional<Set<String>> commonEvidence(Set<String> traits) {
+    List<Crash> involving =
+        crashes.stream().filter(c -> traits.stream().anyMatch(t -> isInvolved(c, t))).toList();
+    return involving.isEmpty() ? Optional.empty() : Optional.of(commonTraits(involving));
+  }
+
+  /** Returns the number of traits and sets of traits that are stored. */
+  int storedEntries() {
+    return storedTraits + blocks.size() + clearances.size();
+  }
+
+  private void expire(long nowMillis) {
+    while (!crashes.isEmpty() && crashes.peekFirst().atMillis + RETENTION_MILLIS < nowMillis) {
+      storedTraits -= crashes.removeFirst().size();
     }
+    blocks.values().removeIf(b -> b.lastRequestAtMillis + BLOCK_MILLIS < nowMillis);
+    clearances.values().removeIf(c -> c.atMillis() + RETENTION_MILLIS < nowMillis);
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamSelector.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamSelector.java
@@ -77,9 +77,7 @@
       String failureDomain,
       long nowMillis,
       LongSupplier random) {
-    List<Candidate> healthy =
-        candidates.stream().filter(c -> !c.load().isSuspended(nowMillis)).toList();
-    List<Candidate> pool = healthy.isEmpty() ? candidates : healthy;
+    List<Candidate> pool = preferHealthy(candidates, nowMillis);
     if (pool.isEmpty()) {
       return Optional.empty();
     }
@@ -89,6 +87,34 @@
             .orElseGet(() -> new Choice(chooseLeastBusy(pool, failureDomain, random), 0)));
   }
 
+  /**
+   * Chooses the upstream that all daemons choose for a key, whatever its load.
+   *
+   * @param candidates upstreams that have not received this request yet
+   * @param prompt shape of the prompt, or empty for a plain request
+   * @param key the key
+   * @param nowMillis monotonic time in milliseconds
+   * @return the choice, or empty if there are no candidates
+   */
+  public static Optional<Choice> chooseByKey(
+      List<Candidate> candidates, Optional<PromptShape> prompt, String key, long nowMillis) {
+    List<Candidate> pool = preferHealthy(candidates, nowMillis);
+    return RendezvousHash.rank(pool, c -> c.entry().id(), key).stream()
+        .findFirst()
+        .map(c -> new Choice(c, prompt.map(p -> uncachedTokens(c, p)).orElse(0L)));
+  }
+
+  private static long uncachedTokens(Candidate candidate, PromptShape prompt) {
+    long cachedTokens = candidate.load().prefixCache().cachedTokens(prompt);
+    return Math.max(0, prompt.promptTokens() - cachedTokens);
+  }
+
+  private static List<Candidate> preferHealthy(List<Candidate> candidates, long nowMillis) {
+    List<Candidate> healthy =
+        candidates.stream().filter(c -> !c.load().isSuspended(nowMillis)).toList();
+    return healthy.isEmpty() ? candidates : healthy;
+  }
+
   private static Choice chooseSoonest(List<Candidate> pool, PromptShape prompt) {
     List<Candidate> ranked =
         RendezvousHash.rank(pool, c -> c.entry().id(), prompt.sharedPrefixId());
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CrashReportFormat.java
@@ -0,0 +1,88 @@
+package org.hibiscusreel.daemon.forward;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hibiscusreel.core.crash.CrashDetector.Block;
+import org.hibiscusreel.core.crash.CrashDetector.Clearance;
+import org.hibiscusreel.core.crash.CrashDetector.Sighting;
+import org.hibiscusreel.core.crash.CrashReport;
+import org.hibiscusreel.daemon.platform.JsonBodies;
+
+/**
+ * JSON form of crash reports: {@code reply_to}, {@code sightings} as arrays of upstream, started,
+ * age and traits, {@code blocks} as objects of traits and epochs, and {@code clearances} as arrays
+ * of trait, epoch and age.
+ */
+final class CrashReportFormat {
+
+  private static final String REPLY_TO = "reply_to";
+  private static final String SIGHTINGS = "sightings";
+  private static final String BLOCKS = "blocks";
+  private static final String CLEARANCES = "clearances";
+  private static final int SIGHTING_HEADER_FIELDS = 3;
+  private static final int CLEARANCE_FIELDS = 3;
+
+  private CrashReportFormat() {}
+
+  static byte[] write(CrashReport report) {
+    ObjectNode root = JsonBodies.MAPPER.createObjectNode();
+    root.put(REPLY_TO, report.replyTo());
+    ArrayNode sightings = root.putArray(SIGHTINGS);
+    for (Sighting s : report.sightings()) {
+      ArrayNode fields = sightings.addArray().add(s.upstream()).add(s.started()).add(s.atMillis());
+      s.traits().forEach(fields::add);
+    }
+    ArrayNode blocks = root.putArray(BLOCKS);
+    for (Block b : report.blocks()) {
+      ObjectNode epochs = blocks.addObject();
+      b.epochs().forEach(epochs::put);
+    }
+    ArrayNode clearances = root.putArray(CLEARANCES);
+    for (Clearance c : report.clearances()) {
+      clearances.addArray().add(c.trait()).add(c.epoch()).add(c.atMillis());
+    }
+    return JsonBodies.write(root);
+  }
+
+  static CrashReport read(JsonNode root) throws IOException {
+    List<Sighting> sightings = new ArrayList<>();
+    for (JsonNode s : root.path(SIGHTINGS)) {
+      requireFields(s, SIGHTING_HEADER_FIELDS);
+      Set<String> traits = new HashSet<>();
+      for (int i = SIGHTING_HEADER_FIELDS; i < s.size(); i++) {
+        traits.add(s.get(i).asText());
+      }
+      sightings.add(new Sighting(traits, s.get(1).asBoolean(), s.get(0).asText(), age(s.get(2))));
+    }
+    List<Block> blocks = new ArrayList<>();
+    for (JsonNode b : root.path(BLOCKS)) {
+      Map<String, Long> epochs = new HashMap<>();
+      b.fields().forEachRemaining(e -> epochs.put(e.getKey(), e.getValue().asLong()));
+      blocks.add(new Block(epochs));
+    }
+    List<Clearance> clearances = new ArrayList<>();
+    for (JsonNode c : root.path(CLEARANCES)) {
+      requireFields(c, CLEARANCE_FIELDS);
+      clearances.add(new Clearance(c.get(0).asText(), c.get(1).asLong(), age(c.get(2))));
+    }
+    return new CrashReport(root.path(REPLY_TO).asText(), sightings, blocks, clearances);
+  }
+
+  private static long age(JsonNode field) {
+    return Math.max(0, field.asLong());
+  }
+
+  private static void requireFields(JsonNode fields, int count) throws IOException {
+    if (fields.size() < count) {
+      throw new IOException("an entry of a crash report is incomplete");
+    }
+  }
+}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -14,6 +14,7 @@
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
+import org.hibiscusreel.coordination.forward.UpstreamCrashes;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.StoreClock;
@@ -107,6 +108,7 @@
   private final PrepaidBudgets budgets;
   private final UdpLoadTransport loadTransport;
   private final LoadExchange loadExchange;
+  private final UpstreamCrashes crashes;
   private final Forwarder forwarder;
   private final ForwardServer server;
   private final StatusServer status;
@@ -164,6 +166,8 @@
             settings.incarnation(),
             this::confirmedVersion,
             fleet::onPeerVersion);
+    this.crashes =
+        new UpstreamCrashes(scheduler, loadTransport, formatAddress(settings.peers()), decisions);
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -173,6 +177,7 @@
                 ports.upstreamDialect()),
             budgets,
             loadExchange,
+            crashes,
             settings.forward(),
             decisions,
             ThreadLocalRandom.current()::nextLong);
@@ -196,6 +201,7 @@
     decisions.register("configuration.age_ms", fleet::configurationAgeMillis);
     decisions.register("upstreams.age_ms", fleet::upstreamDataAgeMillis);
     decisions.register("peers.reporting", loadExchange::reportingPeerCount);
+    decisions.register("crashes.blocks", crashes::blockCount);
     decisions.register("log.dropped", log::dropped);
   }
 
@@ -218,6 +224,7 @@
     server.start();
     loadTransport.start();
     loadExchange.start();
+    crashes.start();
     fleet.start();
     budgets.start();
   }
@@ -230,7 +237,11 @@
   private boolean isReady() {
     boolean isLinkOverloaded = link.isOverloaded(scheduler.nowMillis());
     boolean isReady =
-        stopping == null && fleet.isReady() && !isFallingBehind() && !isLinkOverloaded;
+        stopping == null
+            && fleet.isReady()
+            && crashes.isInformed()
+            && !isFallingBehind()
+            && !isLinkOverloaded;
     if (isReady != wasReady) {
       wasReady = isReady;
       decisions.record(
@@ -304,6 +315,7 @@
     }
     fleet.stop();
     loadExchange.stop();
+    crashes.stop();
     loadTransport.stop();
     decisions.record("stopped", Map.of("unfinished", forwarder.inProgress()));
     var unused = budgets.stop().thenAccept(v -> completeStop());
@@ -343,6 +355,7 @@
     @Override
     public void onPeers(List<String> addresses) {
       loadExchange.onPeers(addresses);
+      crashes.onPeers(addresses);
     }
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -18,16 +18,18 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
+import org.hibiscusreel.coordination.forward.CrashTransport;
 import org.hibiscusreel.coordination.forward.LoadTransport;
+import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /**
- * Exchanges load reports as JSON datagrams. A report is outdated in less than a second, so
- * retransmission over a connection would only delay the next report. Used only on the thread of the
- * event loop.
+ * Exchanges load reports and crash reports as JSON datagrams; a load report is an array, a crash
+ * report an object. A load report is outdated in less than a second, so retransmission over a
+ * connection would only delay the next report. Used only on the thread of the event loop.
  */
-public final class UdpLoadTransport implements LoadTransport {
+public final class UdpLoadTransport implements LoadTransport, CrashTransport {
 
   /**
    * Size limit of a report. A larger datagram would be fragmented into many packets, and the loss
@@ -43,6 +45,9 @@
   private final NioReactor reactor;
   private final InetSocketAddress address;
   private UdpSocket socket;
+  private Consumer<LoadReport> loadReceiver = r -> {};
+  private Consumer<CrashReport> crashReceiver = r -> {};
+  private boolean isReceiving;
   private boolean failureLogged;
 
   /**
@@ -82,9 +87,17 @@
 
   @Override
   public void send(List<String> peers, LoadReport report) {
-    byte[] bytes = write(report);
+    sendBytes(peers, write(report));
+  }
+
+  @Override
+  public void sendCrashes(List<String> peers, CrashReport report) {
+    sendBytes(peers, CrashReportFormat.write(report));
+  }
+
+  private void sendBytes(List<String> peers, byte[] bytes) {
     if (bytes.length > MAX_REPORT_BYTES) {
-      logFailure("a load report is too large to send", new IOException(bytes.length + " bytes"));
+      logFailure("a report is too large to send", new IOException(bytes.length + " bytes"));
       return;
     }
     if (socket == null) {
@@ -93,7 +106,7 @@
     for (String peer : peers) {
       socket
           .send(UdpPacket.of(ByteBuf.wrapForReading(bytes), toAddress(peer)))
-          .whenException(e -> logFailure("cannot send a load report to " + peer, e));
+          .whenException(e -> logFailure("cannot send a report to " + peer, e));
     }
   }
 
@@ -110,9 +123,8 @@
     return JsonBodies.write(fields);
   }
 
-  private static LoadReport read(byte[] bytes) throws IOException {
-    JsonNode fields = JsonBodies.MAPPER.readTree(bytes);
-    if (fields == null
+  private static LoadReport read(JsonNode fields) throws IOException {
+    if (!fields.isArray()
         || fields.size() < HEADER_FIELDS
         || (fields.size() - HEADER_FIELDS) % FIELDS_PER_ENTRY != 0) {
       throw new IOException("a load report must consist of a header and complete entries");
@@ -139,25 +151,42 @@
 
   @Override
   public void receive(Consumer<LoadReport> receiver) {
-    if (socket == null) {
+    loadReceiver = receiver;
+    receiveNext();
+  }
+
+  @Override
+  public void receiveCrashes(Consumer<CrashReport> receiver) {
+    crashReceiver = receiver;
+    receiveNext();
+  }
+
+  private void receiveNext() {
+    if (socket == null || isReceiving) {
       return;
     }
+    isReceiving = true;
     socket
         .receive()
         .whenResult(
             packet -> {
-              handlePacket(packet, receiver);
-              receive(receiver);
+              isReceiving = false;
+              handlePacket(packet);
+              receiveNext();
             })
-        .whenException(
-            e -> logFailure("receiving load reports failed; no further ones are received", e));
+        .whenException(e -> logFailure("receiving failed; no further reports are received", e));
   }
 
-  private void handlePacket(UdpPacket packet, Consumer<LoadReport> receiver) {
+  private void handlePacket(UdpPacket packet) {
     try {
-      receiver.accept(read(packet.getBuf().asArray()));
+      JsonNode node = JsonBodies.MAPPER.readTree(packet.getBuf().asArray());
+      if (node.isObject()) {
+        crashReceiver.accept(CrashReportFormat.read(node));
+      } else {
+        loadReceiver.accept(read(node));
+      }
     } catch (IOException e) {
-      logFailure("cannot parse a load report", e);
+      logFailure("cannot parse a report", e);
     }
   }
 
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -28,6 +28,7 @@
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.Refusal;
+import org.hibiscusreel.coordination.forward.UpstreamCrashes;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.CallerLimits;
@@ -197,6 +198,9 @@
                   800,
                   () -> 1,
                   (e, f) -> {});
+          UdpLoadTransport reports =
+              new UdpLoadTransport(
+                  loop.eventloop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
           Forwarder forwarder =
               new Forwarder(
                   scheduler,
@@ -206,14 +210,8 @@
                           loop.eventloop(), false, Duration.ofMillis(500), upstreamTraffic),
                       dialect),
                   budgets,
-                  new LoadExchange(
-                      scheduler,
-                      new UdpLoadTransport(
-                          loop.eventloop(),
-                          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
-                      "d.1",
-                      () -> 0,
-                      v -> {}),
+                  new LoadExchange(scheduler, reports, "d.1", () -> 0, v -> {}),
+                  new UpstreamCrashes(scheduler, reports, "127.0.0.1:0", (e, f) -> {}),
                   new ForwardSettings("d", 0.2, 10, 2_000),
                   (e, f) -> {},
                   () -> 0);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -9,9 +9,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.hibiscusreel.core.crash.CrashDetector.Block;
+import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -73,6 +76,20 @@
     assertThat(next()).isEqualTo(REPORT);
   }
 
+  @Test
+  void carriesCrashReportsBesideLoadReports() throws InterruptedException {
+    start();
+    BlockingQueue<CrashReport> crashes = new LinkedBlockingQueue<>();
+    loop.run(() -> receiver.receiveCrashes(crashes::add));
+    CrashReport report =
+        new CrashReport("", List.of(), List.of(new Block(Map.of("part:a", 0L))), List.of());
+    List<String> peers = List.of("127.0.0.1:" + second.getPort());
+    loop.run(() -> sender.sendCrashes(peers, report));
+    assertThat(crashes.poll(5, TimeUnit.SECONDS)).isEqualTo(report);
+    loop.run(() -> sender.send(peers, REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+
   /** Guards against a transport that stops receiving after a datagram that is not a load report. */
   @Test
   void continuesAfterMalformedDatagrams() throws Exception {
