Read and log the limits that upstreams name in their responses

Each response now says whether its upstream has a limit; changes are logged as upstream_limit, values that can't be read as invalid, and upstreams.limited counts the upstreams. Nothing depends on the limit yet.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -2,13 +2,17 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.AttemptProgress;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
 
 /**
@@ -132,6 +136,25 @@
     }
   }
 
+  @Override
+  public void onRequestLimit(RequestLimit limit) {
+    UpstreamLimits limits = forwarder.loads().limits();
+    long now = forwarder.scheduler().nowMillis();
+    boolean changed = limits.onResponse(upstream.id(), limit, sentAtMillis, now);
+    if (limit instanceof RequestLimit.Invalid i) {
+      logLimit("invalid: " + i.text());
+    } else if (changed) {
+      OptionalDouble known = limits.perSecond(upstream.id());
+      logLimit(known.isPresent() ? String.valueOf(known.getAsDouble()) : "none");
+    }
+  }
+
+  private void logLimit(String value) {
+    forwarder
+        .log()
+        .record("upstream_limit", Map.of("upstream", upstream.id(), "per_second", value));
+  }
+
   @Override
   public void onHead(int headStatus, List<HeaderField> headFields) {
     recordActivity();
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -10,6 +10,7 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
+import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
 
 /**
@@ -41,6 +42,7 @@
   private final String incarnation;
   private final Map<String, UpstreamLoad> ownLoad = new HashMap<>();
   private final PeerLoads peerLoads = new PeerLoads();
+  private final UpstreamLimits limits = new UpstreamLimits();
   private final LongSupplier ownVersion;
   private final LongConsumer peerVersions;
   private List<String> peers = List.of();
@@ -105,6 +107,7 @@
    */
   public void onUpstreamsRemoved(Iterable<String> ids) {
     ids.forEach(ownLoad::remove);
+    limits.onRemoved(ids);
   }
 
   /**
@@ -117,6 +120,20 @@
     return peerLoads.senderCount();
   }
 
+  /**
+   * Returns the number of upstreams that have named a limit.
+   *
+   * @return 0 or more
+   */
+  public int limitCount() {
+    return limits.count();
+  }
+
+  /** Returns the limits that upstreams have named. */
+  UpstreamLimits limits() {
+    return limits;
+  }
+
   UpstreamLoad ownLoad(String upstream) {
     return ownLoad.computeIfAbsent(upstream, u -> new UpstreamLoad());
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
 /** Sends requests to upstreams. Methods and callbacks run only on the event loop thread. */
@@ -26,6 +27,13 @@
   /** Receives the response to a request. */
   interface Listener {
 
+    /**
+     * Called when the header of a response from the upstream arrived, before any other call.
+     *
+     * @param limit what the response says of the requests that the upstream takes
+     */
+    void onRequestLimit(RequestLimit limit);
+
     /**
      * Called when the header of a usable response from the upstream arrived.
      *
--- /dev/null
+++ b/core/src/main/java/org/hibiscusreel/core/forward/RequestLimit.java
@@ -0,0 +1,53 @@
+package org.hibiscusreel.core.forward;
+
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/** What a response says about the requests that its upstream takes from all daemons together. */
+public sealed interface RequestLimit {
+
+  /** Largest limit in requests per second; larger ones mean the same. */
+  double MAX_PER_SECOND = 1_000_000;
+
+  /** The upstream names no limit. */
+  record Unlimited() implements RequestLimit {}
+
+  /**
+   * The upstream takes a limited number of requests.
+   *
+   * @param perSecond requests per second, 0 or more
+   */
+  record Limited(double perSecond) implements RequestLimit {}
+
+  /**
+   * The upstream names a limit that can't be read, so that it is unknown whether it has one.
+   *
+   * @param text what it names, shortened
+   */
+  record Invalid(String text) implements RequestLimit {}
+
+  /**
+   * Parses the limit that a response names.
+   *
+   * @param text decimal number of requests per second, or empty if the response names none
+   * @return the limit
+   */
+  static RequestLimit parse(Optional<String> text) {
+    if (text.isEmpty()) {
+      return new Unlimited();
+    }
+    String number = text.get().strip();
+    return Format.DECIMAL.matcher(number).matches()
+        ? new Limited(Math.min(MAX_PER_SECOND, Double.parseDouble(number)))
+        : new Invalid(number.substring(0, Math.min(number.length(), Format.MAX_SHOWN_LENGTH)));
+  }
+
+  /** Form of the number. */
+  final class Format {
+
+    private static final int MAX_SHOWN_LENGTH = 40;
+    private static final Pattern DECIMAL = Pattern.compile("\\d{1,30}(\\.\\d{0,30})?|\\.\\d{1,30}");
+
+    private Format() {}
+  }
+}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -202,6 +202,7 @@
     decisions.register("upstreams.age_ms", fleet::upstreamDataAgeMillis);
     decisions.register("peers.reporting", loadExchange::reportingPeerCount);
     decisions.register("crashes.blocks", crashes::blockCount);
+    decisions.register("upstreams.limited", loadExchange::limitCount);
     decisions.register("log.dropped", log::dropped);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -68,6 +68,7 @@
       return;
     }
     List<HeaderField> fields = HeaderFields.endToEnd(response);
+    dialect.requestLimit(response.getCode(), fields).ifPresent(listener::onRequestLimit);
     UpstreamDialect.ResponseCheck check =
         dialect.checkResponse(request, response.getCode(), fields);
     if (check instanceof UpstreamDialect.ResponseCheck.Rejected rejected) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamDialect.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamDialect.java
@@ -1,9 +1,11 @@
 package org.hibiscusreel.daemon.forward;
 
 import java.util.List;
+import java.util.Optional;
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.UpstreamTransport.UpstreamRequest;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
 /** Converts between the types of the forwarder and the HTTP messages of upstreams. */
@@ -37,6 +39,15 @@
    */
   List<HeaderField> headerFields(UpstreamEntry upstream, UpstreamRequest request);
 
+  /**
+   * Returns what a response says of the requests that its upstream takes.
+   *
+   * @param status HTTP status
+   * @param fields end-to-end header fields
+   * @return the limit, or empty if the response is not from the upstream that was asked
+   */
+  Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields);
+
   /**
    * Checks the status and header fields of a response.
    *
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -34,6 +34,7 @@
 import org.hibiscusreel.core.forward.CallerLimits;
 import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
@@ -113,6 +114,11 @@
       return request.caller().fields();
     }
 
+    @Override
+    public Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields) {
+      return Optional.of(new RequestLimit.Unlimited());
+    }
+
     @Override
     public ResponseCheck checkResponse(
         UpstreamTransport.UpstreamRequest r, int status, List<HeaderField> fields) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -17,6 +17,7 @@
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.loop.RawServer;
@@ -47,6 +48,14 @@
       return List.of(new HeaderField("Expect-Id", upstream.id()));
     }
 
+    @Override
+    public Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields) {
+      return fields.stream()
+          .filter(f -> f.name().equalsIgnoreCase("Limit"))
+          .map(f -> RequestLimit.parse(Optional.of(f.value())))
+          .findFirst();
+    }
+
     @Override
     public ResponseCheck checkResponse(
         UpstreamTransport.UpstreamRequest request, int status, List<HeaderField> fields) {
@@ -62,6 +71,11 @@
 
   private final UpstreamTransport.Listener listener =
       new UpstreamTransport.Listener() {
+        @Override
+        public void onRequestLimit(RequestLimit limit) {
+          received.add(limit.toString());
+        }
+
         @Override
         public void onHead(int status, List<HeaderField> fields) {
           received.add("head " + status);
@@ -145,6 +159,15 @@
     }
   }
 
+  /** Guards against a limit that is missed because the request was not run. */
+  @Test
+  void reportsLimitOfEachResponse() throws Exception {
+    assertThat(receivedEventsFrom(OK + "Limit: 1.5\r\nContent-Length: 2\r\n\r\nhi"))
+        .isEqualTo("[Limited[perSecond=1.5]][head 200]hi[end]");
+    assertThat(receivedEventsFrom("HTTP/1.1 503 No\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n"))
+        .isEqualTo("[Limited[perSecond=2.0]][failure NOT_EXECUTED]");
+  }
+
   /** Guards against treating bytes after the response as part of it. */
   @Test
   void ignoresBytesAfterCompleteResponse() throws Exception {
