Treat an empty response without a length as broken off

An upstream that ends right after the head of a response with neither a length nor chunks closes its connection as it would at the end of an empty body, and the caller got an empty success.

A 200 without Content-Length and Transfer-Encoding now needs at least one byte. reportsResponseWithoutLengthThatEndsBeforeItsBody failed before. The two new tests of streams, reset before their first event and between two events, pass without the change; with the existing ones they cover answers that end with their connection, that are reset, and streams that end inside an event, each for whole bodies and for streams.

--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -218,6 +218,29 @@
     assertThat(h.callerEvents).endsWith("id: 1", "abort");
   }
 
+  /** Guards against a crash before the first event that looks like a complete empty stream. */
+  @Test
+  void reportsStreamThatIsResetBeforeItsFirstEvent() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().bytes("id: 1\nda");
+    h.last().fail(AttemptOutcome.BROKEN);
+    h.scheduler.run(ForwardTask.CRASH_CHECK_MILLIS);
+    assertThat(h.callerEvents).containsExactly("FAILED");
+  }
+
+  /** Guards against a stream that is taken for complete after it was reset between two events. */
+  @Test
+  void abortsStreamThatIsResetBetweenEvents() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    h.last().fail(AttemptOutcome.BROKEN);
+    assertThat(h.callerEvents).endsWith("id: 1", "abort");
+  }
+
   /** Guards against missing and repeated events when another upstream resumes a stream. */
   @Test
   void resumesBrokenStreamAfterTheLastCompleteEvent() {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.daemon.forward;
 
 import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpResponse;
 import java.util.ArrayList;
@@ -21,6 +22,8 @@
  */
 public final class HttpUpstreamTransport implements UpstreamTransport {
 
+  private static final int STATUS_OK = 200;
+
   private final AsyncHttpClient calls;
   private final UpstreamDialect dialect;
 
@@ -49,11 +52,12 @@
             headers,
             request.caller().body().length == 0 ? null : request.caller().body());
     exchange.limitFraming();
-    ResponseBodyReader bodyReader = new ResponseBodyReader(exchange, new ListenerSink(listener));
+    ListenerSink sink = new ListenerSink(listener);
+    ResponseBodyReader bodyReader = new ResponseBodyReader(exchange, sink);
     exchange
         .response()
         .async()
-        .whenResult(r -> onResponse(r, request, listener, bodyReader))
+        .whenResult(r -> onResponse(r, request, sink, bodyReader))
         .whenException(e -> bodyReader.fail(toOutcome(exchange, e), String.valueOf(e)));
     return bodyReader;
   }
@@ -61,21 +65,24 @@
   private void onResponse(
       HttpResponse response,
       UpstreamRequest request,
-      Listener listener,
+      ListenerSink sink,
       ResponseBodyReader bodyReader) {
     if (bodyReader.isEnded()) {
       response.takeBodyStream().close();
       return;
     }
     List<HeaderField> fields = HeaderFields.endToEnd(response);
-    dialect.requestLimit(response.getCode(), fields).ifPresent(listener::onRequestLimit);
+    dialect.requestLimit(response.getCode(), fields).ifPresent(sink.listener::onRequestLimit);
     UpstreamDialect.ResponseCheck check =
         dialect.checkResponse(request, response.getCode(), fields);
     if (check instanceof UpstreamDialect.ResponseCheck.Rejected rejected) {
       response.takeBodyStream().close();
       bodyReader.fail(rejected.outcome(), rejected.reason());
     } else if (check instanceof UpstreamDialect.ResponseCheck.Accepted accepted) {
-      listener.onHead(response.getCode(), accepted.fields());
+      if (response.getCode() == STATUS_OK && !hasEndMark(response)) {
+        sink.requireBody();
+      }
+      sink.listener.onHead(response.getCode(), accepted.fields());
       bodyReader.start(response.takeBodyStream());
     }
   }
@@ -86,16 +93,41 @@
         : AttemptOutcome.BROKEN;
   }
 
-  private record ListenerSink(Listener listener) implements ResponseBodyReader.Sink {
+  private static boolean hasEndMark(HttpResponse response) {
+    return response.getHeader(HttpHeaders.CONTENT_LENGTH) != null
+        || response.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
+  }
+
+  private static final class ListenerSink implements ResponseBodyReader.Sink {
+
+    private final Listener listener;
+    private boolean mayBeEmpty = true;
+
+    ListenerSink(Listener listener) {
+      this.listener = listener;
+    }
+
+    /**
+     * Treats an empty body as broken off. Without a length, a crash right after the head looks like
+     * an empty body.
+     */
+    void requireBody() {
+      mayBeEmpty = false;
+    }
 
     @Override
     public void onBytes(byte[] bytes) {
+      mayBeEmpty |= bytes.length > 0;
       listener.onBytes(bytes);
     }
 
     @Override
     public void onEnd() {
-      listener.onEnd();
+      if (mayBeEmpty) {
+        listener.onEnd();
+      } else {
+        listener.onFailure(AttemptOutcome.BROKEN, "the connection ended before the body");
+      }
     }
 
     @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -190,6 +190,16 @@
         .isEqualTo("[head 200]hello[end]");
   }
 
+  /** Guards against a crash right after the head that looks like a complete response. */
+  @Test
+  void reportsResponseWithoutLengthThatEndsBeforeItsBody() throws Exception {
+    assertThat(receivedEventsFrom(OK + "Connection: close\r\n\r\n"))
+        .isEqualTo("[head 200][failure BROKEN]");
+    assertThat(receivedEventsFrom(OK + "Content-Length: 0\r\n\r\n")).isEqualTo("[head 200][end]");
+    assertThat(receivedEventsFrom(OK + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+        .isEqualTo("[head 200][end]");
+  }
+
   /** Guards against treating a reset connection as the end of a response without a length. */
   @Test
   void reportsResponseWithoutLengthThatIsReset() throws Exception {
