Keep the limits that upstreams name

An upstream in need got far more requests than the limit that it had named.

Cause: the limit was a header field that was passed on and read by nothing, so that neither the choice of an upstream nor a refusal depended on it.

Change: each daemon has a token bucket for each limited upstream, from which it takes its own requests and those that others report. Load reports carry the limits and the numbers of requests sent; the part of daemons that are not heard is left to them. In large fleets few daemons have fixed parts of a limit instead. While a service has unlimited upstreams, the limited ones are kept for the larger prompts, the others get what they can take within twice the target, and the rest is refused at once with different times to come back.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -14,6 +14,7 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
+import org.hibiscusreel.core.forward.UpstreamSelector;
 
 /**
  * One attempt to serve a request at one upstream. Calls exactly one of {@code onFullResponse},
@@ -70,6 +71,7 @@
   private final UpstreamEntry upstream;
   private final UpstreamLoad load;
   private final long prefillTokens;
+  private final long pendingTokens;
   private final String resumedAfter;
   private final EventFramer framer = new EventFramer(this::onEvent);
   private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream();
@@ -89,16 +91,16 @@
       Owner owner,
       Route route,
       Supplier<Set<String>> traits,
-      UpstreamEntry upstream,
-      long prefillTokens,
+      UpstreamSelector.Choice choice,
       String resumedAfter) {
     this.forwarder = forwarder;
     this.owner = owner;
     this.route = route;
     this.traits = traits;
-    this.upstream = upstream;
+    this.upstream = choice.candidate().entry();
     this.load = forwarder.loads().ownLoad(upstream.id());
-    this.prefillTokens = prefillTokens;
+    this.prefillTokens = choice.prefillTokens();
+    this.pendingTokens = choice.candidate().pendingPrefillTokens() + prefillTokens;
     this.resumedAfter = resumedAfter;
   }
 
@@ -116,6 +118,7 @@
 
   void start(UpstreamTransport.UpstreamRequest outgoing) {
     load.onSent(prefillTokens);
+    forwarder.loads().limits().onSent(upstream.id());
     forwarder.loads().scheduleReport();
     sentAtMillis = forwarder.scheduler().nowMillis();
     lastActivityAtMillis = sentAtMillis;
@@ -195,6 +198,9 @@
     if (!isAnswered) {
       isAnswered = true;
       forwarder.crashes().onAnswered(traits);
+      forwarder
+          .prefillRate(upstream.service())
+          .add(pendingTokens, forwarder.scheduler().nowMillis() - sentAtMillis);
     }
     markPromptProcessed();
     load.onSuccess();
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.crash.RequestTraits;
@@ -54,6 +55,12 @@
    */
   static final long CRASH_CHECK_MILLIS = 150;
 
+  /**
+   * A request is refused rather than sent to an upstream whose first event is expected after this
+   * many times the target of the route; a response that is somewhat late is still of use.
+   */
+  static final long LATE_TARGET_FACTOR = 2;
+
   private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
   private static final int STATUS_SERVER_ERROR = 500;
 
@@ -110,6 +117,7 @@
   void start() {
     timer = forwarder.scheduler().schedule(remainingMillis(), this::onTimeout);
     forwarder.retryBudget(service.name()).onRequest();
+    request.prompt().ifPresent(p -> forwarder.promptSizes(service.name()).add(p.promptTokens()));
     if (forwarder.crashes().isBlocked(this::traits)) {
       refuse(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS);
       return;
@@ -233,10 +241,12 @@
                     forwarder.chooseUpstreamForSuspect(
                         service.name(), request.prompt(), triedUpstreams, s.placementKey()))
             .orElseGet(
-                () -> forwarder.chooseUpstream(service.name(), request.prompt(), triedUpstreams));
+                () ->
+                    forwarder.chooseUpstream(
+                        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis()));
     if (choice.isEmpty()) {
       releaseSuspect();
-      endUnserved("no upstream of " + service.name() + " is left");
+      endWithoutUpstream();
       return;
     }
     UpstreamEntry upstream = choice.get().candidate().entry();
@@ -259,18 +269,28 @@
                     .load()
                     .prefixCache()
                     .recordPrompt(p, service.cacheCapacityTokens()));
-    attempt =
-        new ForwardAttempt(
-            forwarder,
-            this,
-            route,
-            this::traits,
-            upstream,
-            choice.get().prefillTokens(),
-            lastEventId);
+    attempt = new ForwardAttempt(forwarder, this, route, this::traits, choice.get(), lastEventId);
     attempt.start(outgoing);
   }
 
+  /** Returns how late the first event may be expected, which no longer matters once one came. */
+  private long maxFirstEventMillis() {
+    return streamBegun ? Long.MAX_VALUE : LATE_TARGET_FACTOR * route.targetMillis();
+  }
+
+  private void endWithoutUpstream() {
+    OptionalLong retryAfter =
+        forwarder.limitedRetryMillis(service.name(), request.prompt(), maxFirstEventMillis());
+    if (retryAfter.isPresent() && !mayHaveRun) {
+      refuse(
+          Refusal.Kind.NOT_RUN,
+          retryAfter.getAsLong(),
+          "all upstreams of " + service.name() + " are at their limits or full");
+    } else {
+      endUnserved("no upstream of " + service.name() + " is left");
+    }
+  }
+
   private long remainingMillis() {
     return timeoutAtMillis - forwarder.scheduler().nowMillis();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -7,15 +7,19 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.PeerLoads;
+import org.hibiscusreel.core.forward.PrefillRate;
 import org.hibiscusreel.core.forward.PromptShape;
+import org.hibiscusreel.core.forward.PromptSizes;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamSelector;
 import org.hibiscusreel.core.retry.RetryBudget;
 
@@ -28,6 +32,14 @@
   /** Retry advice in milliseconds while the configuration is outdated; other daemons know more. */
   static final long OUTDATED_RETRY_AFTER_MILLIS = 300;
 
+  /** Shortest retry advice in milliseconds while all upstreams are at their limits. */
+  static final long MIN_LIMITED_RETRY_AFTER_MILLIS = 100;
+
+  /** Longest retry advice in milliseconds while all upstreams are at their limits. */
+  static final long MAX_LIMITED_RETRY_AFTER_MILLIS = 10_000;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   /**
    * Fraction of the allowed retries that the counted daemons use. The rest is a reserve for a
    * daemon that is not counted yet.
@@ -44,6 +56,9 @@
   private final DecisionLog log;
   private final LongSupplier random;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final Map<String, Long> nextRoomMillis = new HashMap<>();
+  private final Map<String, PromptSizes> promptSizes = new HashMap<>();
+  private final Map<String, PrefillRate> prefillRates = new HashMap<>();
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private long refused;
@@ -225,27 +240,116 @@
   }
 
   Optional<UpstreamSelector.Choice> chooseUpstream(
-      String service, Optional<PromptShape> prompt, Set<String> tried) {
+      String service, Optional<PromptShape> prompt, Set<String> tried, long maxFirstEventMillis) {
     long now = scheduler.nowMillis();
-    return UpstreamSelector.choose(
-        candidates(service, tried, now), prompt, settings.failureDomain(), now, random);
+    List<UpstreamSelector.Candidate> candidates = candidates(service, prompt, tried, now);
+    if (hasLimits(service)) {
+      candidates =
+          candidates.stream()
+              .filter(c -> excessMillis(service, c, prompt, maxFirstEventMillis) == 0)
+              .toList();
+    }
+    return UpstreamSelector.choose(candidates, prompt, settings.failureDomain(), now, random);
+  }
+
+  /**
+   * Returns by how much the first event is expected too late. While some upstreams limit what they
+   * take, the others may not be able to take the rest.
+   */
+  private long excessMillis(
+      String service,
+      UpstreamSelector.Candidate candidate,
+      Optional<PromptShape> prompt,
+      long maxFirstEventMillis) {
+    if (prompt.isEmpty()) {
+      return 0;
+    }
+    return prefillRate(service).expectedMillis(candidate.pendingPrefillTokens()).stream()
+        .map(m -> Math.max(0, m - maxFirstEventMillis))
+        .findAny()
+        .orElse(0);
+  }
+
+  PrefillRate prefillRate(String service) {
+    return prefillRates.computeIfAbsent(service, s -> new PrefillRate());
   }
 
   Optional<UpstreamSelector.Choice> chooseUpstreamForSuspect(
       String service, Optional<PromptShape> prompt, Set<String> tried, String placementKey) {
     long now = scheduler.nowMillis();
-    return UpstreamSelector.chooseByKey(candidates(service, tried, now), prompt, placementKey, now);
+    return UpstreamSelector.chooseByKey(
+        candidates(service, prompt, tried, now), prompt, placementKey, now);
   }
 
-  private List<UpstreamSelector.Candidate> candidates(String service, Set<String> tried, long now) {
+  private List<UpstreamSelector.Candidate> candidates(
+      String service, Optional<PromptShape> prompt, Set<String> tried, long now) {
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
-      if (!tried.contains(e.id())) {
+      if (!tried.contains(e.id()) && loads.waitMillis(e.id()) == 0) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
-    return candidates;
+    return prompt.map(p -> saveLimitedRoom(service, p, candidates)).orElse(candidates);
+  }
+
+  /**
+   * Leaves out limited upstreams whose room is better kept for a larger prompt. A limit counts
+   * requests of any size, so that the others have least work if the limited ones take the largest.
+   */
+  private List<UpstreamSelector.Candidate> saveLimitedRoom(
+      String service, PromptShape prompt, List<UpstreamSelector.Candidate> candidates) {
+    if (!hasLimits(service)) {
+      return candidates;
+    }
+    double rank = promptSizes(service).rank(prompt.promptTokens());
+    List<UpstreamSelector.Candidate> fitting =
+        candidates.stream().filter(c -> loads.spareFraction(c.entry().id()) >= 1 - rank).toList();
+    boolean hasUnlimited =
+        fitting.stream().anyMatch(c -> loads.limits().perSecond(c.entry().id()).isEmpty());
+    return hasUnlimited ? fitting : candidates;
+  }
+
+  private boolean hasLimits(String service) {
+    return loads.limitCount() > 0
+        && fleet.upstreams().usable(service, scheduler.nowMillis()).stream()
+            .anyMatch(e -> loads.limits().perSecond(e.id()).isPresent());
+  }
+
+  PromptSizes promptSizes(String service) {
+    return promptSizes.computeIfAbsent(service, s -> new PromptSizes());
+  }
+
+  /**
+   * Returns when a caller should come back that was refused because all upstreams of a service are
+   * at their limits or full. Several callers get different times, so that each finds room.
+   *
+   * @return delay in milliseconds, or empty if an upstream takes requests
+   */
+  OptionalLong limitedRetryMillis(
+      String service, Optional<PromptShape> prompt, long maxFirstEventMillis) {
+    long now = scheduler.nowMillis();
+    List<UpstreamEntry> usable = fleet.upstreams().usable(service, now);
+    PeerLoads others = loads.peerLoads();
+    double perSecond = 0;
+    long wait = Long.MAX_VALUE;
+    for (UpstreamEntry e : usable) {
+      UpstreamSelector.Candidate c =
+          new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id()));
+      long excess = excessMillis(service, c, prompt, maxFirstEventMillis);
+      wait = Math.min(wait, Math.max(loads.waitMillis(e.id()), excess));
+      perSecond += loads.limits().perSecond(e.id()).orElse(0);
+    }
+    if (!hasLimits(service) || wait == 0) {
+      return OptionalLong.empty();
+    }
+    double ownPerSecond =
+        Math.max(UpstreamLimits.MIN_PER_SECOND, perSecond / Math.max(1, fleet.daemonCount()));
+    long room = Math.max(now + wait, nextRoomMillis.getOrDefault(service, 0L));
+    long retryMillis = Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, room - now);
+    long intervalMillis = (long) (MILLIS_PER_SECOND / ownPerSecond);
+    nextRoomMillis.put(service, now + retryMillis + intervalMillis);
+    return OptionalLong.of(Math.max(MIN_LIMITED_RETRY_AFTER_MILLIS, retryMillis));
   }
 
   UpstreamCrashes crashes() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
+import java.util.function.IntSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -12,6 +14,7 @@
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
+import org.hibiscusreel.core.membership.RendezvousHash;
 
 /**
  * Exchanges the load that each daemon puts on the upstreams. Changes are reported after a short
@@ -35,16 +38,42 @@
    */
   public static final long MAX_REPORTS_PER_SECOND = 150;
 
+  /** Largest number of limited upstreams in a report, so that it fits into a datagram. */
+  static final int MAX_REPORTED_LIMITS = 50;
+
+  /**
+   * Largest number of daemons that take requests from a limit in common. With more daemons their
+   * reports are so rare that they would exceed the limit before they hear of each other; then a few
+   * daemons have equal parts of it.
+   */
+  static final int MAX_COMMON_DAEMONS = 16;
+
+  /**
+   * Age in milliseconds up to which a report shows that this daemon and its sender hear each other.
+   * One of two repeated reports may be lost.
+   */
+  static final long HEARD_MILLIS = 1_100;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /**
+   * This daemon, as the others know it.
+   *
+   * @param incarnation incarnation
+   * @param address address at which it receives reports
+   */
+  public record Identity(String incarnation, String address) {}
+
   private final Scheduler scheduler;
   private final LoadTransport transport;
-  private final String incarnation;
+  private final Identity self;
+  private final IntSupplier daemonCount;
   private final Map<String, UpstreamLoad> ownLoad = new HashMap<>();
   private final PeerLoads peerLoads = new PeerLoads();
   private final UpstreamLimits limits = new UpstreamLimits();
   private final LongSupplier ownVersion;
   private final LongConsumer peerVersions;
+  private final Map<String, Integer> ownRanks = new HashMap<>();
   private List<String> peers = List.of();
   private long sequence;
   private long lastSentAtMillis;
@@ -58,7 +87,8 @@
    *
    * @param scheduler clock and delayed tasks
    * @param transport sends and receives the reports
-   * @param incarnation incarnation of this daemon
+   * @param self incarnation and address of this daemon
+   * @param daemonCount supplies the number of daemons, too high rather than too low
    * @param ownVersion version of the configuration that this daemon has confirmed lately, 0 if none
    * @param peerVersions receives the version of the configuration in each report
    * @throws NullPointerException if an argument is null
@@ -66,12 +96,14 @@
   public LoadExchange(
       Scheduler scheduler,
       LoadTransport transport,
-      String incarnation,
+      Identity self,
+      IntSupplier daemonCount,
       LongSupplier ownVersion,
       LongConsumer peerVersions) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
-    this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+    this.self = Objects.requireNonNull(self, "self");
+    this.daemonCount = Objects.requireNonNull(daemonCount, "daemonCount");
     this.ownVersion = Objects.requireNonNull(ownVersion, "ownVersion");
     this.peerVersions = Objects.requireNonNull(peerVersions, "peerVersions");
   }
@@ -80,7 +112,10 @@
   public void start() {
     transport.receive(
         r -> {
-          peerLoads.onReport(r, scheduler.nowMillis());
+          long now = scheduler.nowMillis();
+          if (peerLoads.onReport(r, now)) {
+            limits.onReport(r.sender(), r.limits(), isCommon(), now);
+          }
           peerVersions.accept(r.configurationVersion());
         });
     scheduler.schedule(REPEAT_INTERVAL_MILLIS, this::repeatReport);
@@ -98,6 +133,7 @@
    */
   public void onPeers(List<String> addresses) {
     peers = List.copyOf(addresses);
+    ownRanks.clear();
   }
 
   /**
@@ -107,6 +143,7 @@
    */
   public void onUpstreamsRemoved(Iterable<String> ids) {
     ids.forEach(ownLoad::remove);
+    ids.forEach(ownRanks::remove);
     limits.onRemoved(ids);
   }
 
@@ -129,6 +166,63 @@
     return limits.count();
   }
 
+  /**
+   * Returns when an upstream takes another request.
+   *
+   * @return time to wait in milliseconds, 0 if it takes one now
+   */
+  long waitMillis(String upstream) {
+    OptionalDouble limit = limits.perSecond(upstream);
+    if (limit.isEmpty()) {
+      return 0;
+    }
+    double share = limitShare(upstream, limit.getAsDouble());
+    return limits.waitMillis(upstream, share, scheduler.nowMillis());
+  }
+
+  /**
+   * Returns how much room a limited upstream has beyond one request.
+   *
+   * @return 0 to 1, 1 if the upstream has named no limit
+   */
+  double spareFraction(String upstream) {
+    OptionalDouble limit = limits.perSecond(upstream);
+    if (limit.isEmpty()) {
+      return 1;
+    }
+    double share = limitShare(upstream, limit.getAsDouble());
+    return limits.spareFraction(upstream, share, scheduler.nowMillis());
+  }
+
+  /**
+   * Returns the part of a limit that this daemon and those it hears may use. The rest is left to
+   * daemons from which it hears nothing.
+   */
+  private double limitShare(String upstream, double perSecond) {
+    int daemons = Math.max(1, daemonCount.getAsInt());
+    if (isCommon()) {
+      int heard = peerLoads.senderCount(scheduler.nowMillis(), HEARD_MILLIS);
+      return Math.min(1, (1.0 + heard) / daemons);
+    }
+    int owners = (int) Math.max(1, Math.min(daemons, Math.ceil(perSecond)));
+    return ownRank(upstream) < owners ? 1.0 / owners : 0;
+  }
+
+  private boolean isCommon() {
+    return daemonCount.getAsInt() <= MAX_COMMON_DAEMONS;
+  }
+
+  /** Returns the position of this daemon in an order of all daemons that all of them know. */
+  private int ownRank(String upstream) {
+    return ownRanks.computeIfAbsent(
+        upstream,
+        u -> {
+          List<String> all = new ArrayList<>(peers);
+          all.add(self.address());
+          return RendezvousHash.rank(all, a -> a, u).indexOf(self.address());
+        });
+  }
+
   /** Returns the limits that upstreams have named. */
   UpstreamLimits limits() {
     return limits;
@@ -167,12 +261,12 @@
     if (stopped) {
       return;
     }
-    if (!isReportScheduled
-        && scheduler.nowMillis() - lastSentAtMillis
-            >= Math.max(REPEAT_INTERVAL_MILLIS, minReportIntervalMillis())) {
+    long intervalMillis = Math.max(REPEAT_INTERVAL_MILLIS, minReportIntervalMillis());
+    if (!isReportScheduled && scheduler.nowMillis() - lastSentAtMillis >= intervalMillis) {
       sendReport();
     }
-    scheduler.schedule(REPEAT_INTERVAL_MILLIS, this::repeatReport);
+    long next = lastSentAtMillis + intervalMillis - scheduler.nowMillis();
+    scheduler.schedule(next > 0 ? next : intervalMillis, this::repeatReport);
   }
 
   private void sendReport() {
@@ -185,13 +279,17 @@
           }
         });
     long version = ownVersion.getAsLong();
-    boolean isUnchanged = entries.isEmpty() && wasLastReportEmpty && version == lastReportedVersion;
+    List<UpstreamLimits.Report> limited =
+        limits.toReport(MAX_REPORTED_LIMITS, scheduler.nowMillis());
+    boolean isEmpty = entries.isEmpty() && limited.isEmpty();
+    boolean isUnchanged = isEmpty && wasLastReportEmpty && version == lastReportedVersion;
     if (stopped || peers.isEmpty() || isUnchanged) {
       return;
     }
-    wasLastReportEmpty = entries.isEmpty();
+    wasLastReportEmpty = isEmpty;
     lastReportedVersion = version;
     lastSentAtMillis = scheduler.nowMillis();
-    transport.send(peers, new LoadReport(incarnation, ++sequence, version, entries));
+    transport.send(
+        peers, new LoadReport(self.incarnation(), ++sequence, version, entries, limited));
   }
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -16,6 +16,7 @@
 
   private final List<Long> peerVersions = new ArrayList<>();
   private long version;
+  private int daemonCount = 2;
 
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final Map<String, Consumer<LoadReport>> receivers = new HashMap<>();
@@ -56,7 +57,8 @@
         new LoadExchange(
             scheduler,
             new FakeLoadTransport(name),
-            name + ".1",
+            new LoadExchange.Identity(name + ".1", name),
+            () -> daemonCount,
             () -> version,
             v -> peerVersions.add(v));
     e.start();
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -12,9 +12,14 @@
  * @param configurationVersion version of the configuration that the daemon has confirmed lately, 0
  *     if it has confirmed none
  * @param entries upstreams at which the daemon has requests
+ * @param limits upstreams that have named a limit
  */
 public record LoadReport(
-    String sender, long sequence, long configurationVersion, List<Entry> entries) {
+    String sender,
+    long sequence,
+    long configurationVersion,
+    List<Entry> entries,
+    List<UpstreamLimits.Report> limits) {
 
   /**
    * Load on one upstream.
@@ -25,8 +30,9 @@
    */
   public record Entry(String upstream, int requests, long pendingPrefillTokens) {}
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public LoadReport {
     entries = List.copyOf(entries);
+    limits = List.copyOf(limits);
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/PeerLoads.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/PeerLoads.java
@@ -48,17 +48,19 @@
    *
    * @param report report of another daemon
    * @param nowMillis monotonic time in milliseconds
+   * @return false if a later report of the sender is known, so that this one is ignored
    */
-  public void onReport(LoadReport report, long nowMillis) {
+  public boolean onReport(LoadReport report, long nowMillis) {
     Received previous = bySender.get(report.sender());
     if (previous != null && previous.report().sequence() >= report.sequence()) {
-      return;
+      return false;
     }
     if (previous != null) {
       add(previous.report(), -1);
     }
     bySender.put(report.sender(), new Received(report, nowMillis));
     add(report, 1);
+    return true;
   }
 
   /**
@@ -97,6 +99,20 @@
     return bySender.size();
   }
 
+  /**
+   * Returns the number of daemons with a recent report.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @param maxAgeMillis age up to which a report is recent, in milliseconds
+   * @return 0 or more
+   */
+  public int senderCount(long nowMillis, long maxAgeMillis) {
+    return (int)
+        bySender.values().stream()
+            .filter(r -> nowMillis - r.receivedAtMillis() <= maxAgeMillis)
+            .count();
+  }
+
   private void add(LoadReport report, int sign) {
     for (LoadReport.Entry e : report.entries()) {
       Load sum = at(e.upstream()).plus(e, sign);
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamSelector.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamSelector.java
@@ -46,7 +46,7 @@
     /**
      * Returns the estimated prompt tokens of all daemons that the upstream has not prefilled yet.
      */
-    long pendingPrefillTokens() {
+    public long pendingPrefillTokens() {
       return load.pendingPrefillTokens() + peerLoad.pendingPrefillTokens();
     }
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -163,7 +163,8 @@
         new LoadExchange(
             scheduler,
             loadTransport,
-            settings.incarnation(),
+            new LoadExchange.Identity(settings.incarnation(), formatAddress(settings.peers())),
+            fleet::daemonCount,
             this::confirmedVersion,
             fleet::onPeerVersion);
     this.crashes =
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -17,11 +17,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.forward.CrashTransport;
 import org.hibiscusreel.coordination.forward.LoadTransport;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
+import org.hibiscusreel.core.forward.RequestLimit;
+import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /**
@@ -39,6 +42,7 @@
 
   private static final int HEADER_FIELDS = 3;
   private static final int FIELDS_PER_ENTRY = 3;
+  private static final int FIELDS_PER_LIMIT = 4;
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
 
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
@@ -112,7 +116,8 @@
 
   /**
    * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
-   * tokens, upstream, ...]}.
+   * tokens, upstream, ...]}, with an array of {@code [upstream, limit or null, age, sent requests]}
+   * at the end if upstreams have named limits.
    */
   private static byte[] write(LoadReport report) {
     ArrayNode fields = JsonBodies.MAPPER.createArrayNode();
@@ -120,23 +125,56 @@
     for (LoadReport.Entry entry : report.entries()) {
       fields.add(entry.upstream()).add(entry.requests()).add(entry.pendingPrefillTokens());
     }
+    if (!report.limits().isEmpty()) {
+      ArrayNode limits = fields.addArray();
+      for (UpstreamLimits.Report r : report.limits()) {
+        ArrayNode limit = limits.addArray().add(r.upstream());
+        r.perSecond().ifPresentOrElse(limit::add, limit::addNull);
+        limit.add(r.ageMillis()).add(r.sent());
+      }
+    }
     return JsonBodies.write(fields);
   }
 
   private static LoadReport read(JsonNode fields) throws IOException {
+    boolean hasLimits = fields.path(fields.size() - 1).isArray();
+    int size = hasLimits ? fields.size() - 1 : fields.size();
     if (!fields.isArray()
-        || fields.size() < HEADER_FIELDS
-        || (fields.size() - HEADER_FIELDS) % FIELDS_PER_ENTRY != 0) {
+        || size < HEADER_FIELDS
+        || (size - HEADER_FIELDS) % FIELDS_PER_ENTRY != 0) {
       throw new IOException("a load report must consist of a header and complete entries");
     }
     List<LoadReport.Entry> entries = new ArrayList<>();
-    for (int i = HEADER_FIELDS; i < fields.size(); i += FIELDS_PER_ENTRY) {
+    for (int i = HEADER_FIELDS; i < size; i += FIELDS_PER_ENTRY) {
       entries.add(
           new LoadReport.Entry(
               fields.get(i).asText(), fields.get(i + 1).asInt(), fields.get(i + 2).asLong()));
     }
     return new LoadReport(
-        fields.get(0).asText(), fields.get(1).asLong(), fields.get(2).asLong(), entries);
+        fields.get(0).asText(),
+        fields.get(1).asLong(),
+        fields.get(2).asLong(),
+        entries,
+        hasLimits ? readLimits(fields.get(size)) : List.of());
+  }
+
+  private static List<UpstreamLimits.Report> readLimits(JsonNode limits) throws IOException {
+    List<UpstreamLimits.Report> result = new ArrayList<>();
+    for (JsonNode limit : limits) {
+      double perSecond = limit.path(1).asDouble();
+      if (limit.size() < FIELDS_PER_LIMIT || !(perSecond >= 0)) {
+        throw new IOException("a limit in a load report is incomplete or negative");
+      }
+      result.add(
+          new UpstreamLimits.Report(
+              limit.get(0).asText(),
+              limit.get(1).isNumber()
+                  ? OptionalDouble.of(Math.min(RequestLimit.MAX_PER_SECOND, perSecond))
+                  : OptionalDouble.empty(),
+              Math.max(0, limit.get(2).asLong()),
+              Math.max(0, limit.get(3).asLong())));
+    }
+    return result;
   }
 
   private InetSocketAddress toAddress(String peer) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -8,22 +8,27 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.hibiscusreel.core.crash.CrashDetector.Block;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
+import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class UdpLoadTransportTest {
 
   private static final LoadReport REPORT =
-      new LoadReport("a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)));
+      new LoadReport("a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)), List.of());
 
   private final TestLoop loop = new TestLoop();
   private final InetSocketAddress first = freeAddress();
@@ -76,6 +81,35 @@
     assertThat(next()).isEqualTo(REPORT);
   }
 
+  @Test
+  void carriesLimitsOfUpstreams() throws InterruptedException {
+    start();
+    LoadReport report =
+        new LoadReport(
+            "a.1",
+            8,
+            12,
+            List.of(new LoadReport.Entry("u", 2, 900)),
+            List.of(
+                new UpstreamLimits.Report("u", OptionalDouble.of(1.8), 120, 57),
+                new UpstreamLimits.Report("v", OptionalDouble.empty(), 40, 3)));
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
+    assertThat(next()).isEqualTo(report);
+  }
+
+  /** Guards against a rate below zero, or none, that another process reports. */
+  @ParameterizedTest
+  @ValueSource(strings = {"[[\"u\",-1,0,0]]", "[[\"u\"]]", "[[\"u\",1,0]]"})
+  void ignoresReportsWithInvalidLimits(String limits) throws Exception {
+    start();
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      byte[] bytes = ("[\"a.1\",1,1," + limits + "]").getBytes(StandardCharsets.UTF_8);
+      s.send(new DatagramPacket(bytes, bytes.length, second));
+    }
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+
   @Test
   void carriesCrashReportsBesideLoadReports() throws InterruptedException {
     start();
