Count a crash once however late its report arrives

A daemon that was frozen reads reports that wait in its socket and took their age as if they had just been sent, so that a known crash counted as a second one and a sound trait could be blocked.

On the forwarding path the name of an upstream stands for one run of it, which can crash only once; CrashPolicy.oncePerUpstream says so. The crashes have a store of their own, CrashRecords, and Block and Clearance files of their own. CrashDetectorTest.countsLateReportOfKnownCrashOnce fails with the policy of before (BLOCKED instead of SUSPECT) and passes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
@@ -9,9 +9,9 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.crash.Block;
+import org.hibiscusreel.core.crash.Clearance;
 import org.hibiscusreel.core.crash.CrashDetector;
-import org.hibiscusreel.core.crash.CrashDetector.Block;
-import org.hibiscusreel.core.crash.CrashDetector.Clearance;
 import org.hibiscusreel.core.crash.CrashDetector.Sighting;
 import org.hibiscusreel.core.crash.CrashDetector.Verdict;
 import org.hibiscusreel.core.crash.CrashPolicy;
@@ -50,6 +50,12 @@
   /** Longest time in milliseconds that a daemon waits for what the others know. */
   static final long MAX_UNINFORMED_MILLIS = 2_000;
 
+  /** Interval in milliseconds at which a suspect that has to wait is judged again. */
+  static final long SUSPECT_POLL_MILLIS = 50;
+
+  /** Longest wait of a suspect in milliseconds; the reports of a crash arrive within it. */
+  static final long MAX_SUSPECT_WAIT_MILLIS = 500;
+
   /** Largest number of traits in each part of a report, so that it fits into a datagram. */
   static final int MAX_REPORTED_TRAITS = 60;
 
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
@@ -1,10 +1,8 @@
 package org.hibiscusreel.core.crash;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -37,9 +35,6 @@
    */
   public static final long TRIAL_INTERVAL_MILLIS = 600_000;
 
-  /** Time within which reports about one upstream refer to the same crash, in milliseconds. */
-  public static final long SAME_CRASH_MILLIS = 5_000;
-
   /**
    * Time after a crash from which bytes of the upstream refute it, in milliseconds. Bytes that it
    * sent before may arrive a little later than the report of another daemon.
@@ -50,9 +45,6 @@
   public static final long SHORTEST_RESTART_MILLIS = 1_000;
 
   private static final long EVALUATION_MILLIS = 5_000;
-  private static final int MAX_STORED_CRASHES = 1_000;
-  private static final int MAX_STORED_TRAITS = 20_000;
-  private static final int MAX_TRAITS_PER_CRASH = 500;
   private static final int MAX_BLOCKS = 500;
   private static final int MAX_CLEARANCES = 2_000;
 
@@ -72,28 +64,6 @@
     }
   }
 
-  /**
-   * Traits that crash upstreams if a request has all of them.
-   *
-   * @param epochs the traits, each with the number of times that it had been cleared
-   */
-  public record Block(Map<String, Long> epochs) {
-
-    /** Copies the map. */
-    public Block {
-      epochs = Map.copyOf(epochs);
-    }
-  }
-
-  /**
-   * Statement that requests with a trait were answered. One with a higher epoch replaces others.
-   *
-   * @param trait the trait
-   * @param epoch number of times that the trait was cleared
-   * @param atMillis time of the answer in milliseconds
-   */
-  public record Clearance(String trait, long epoch, long atMillis) {}
-
   /** Verdict on whether a request may be dispatched. */
   public enum Verdict {
     /** The request is not suspected. */
@@ -108,33 +78,6 @@
     BLOCKED
   }
 
-  private static final class Crash {
-    final String upstream;
-    final long atMillis;
-    final Set<String> startedTraits = new HashSet<>();
-    final Set<String> waitingTraits = new HashSet<>();
-    Set<String> explanation = Set.of();
-    boolean withdrawn;
-
-    Crash(String upstream, long atMillis) {
-      this.upstream = upstream;
-      this.atMillis = atMillis;
-    }
-
-    /** Returns the traits of the requests that may have caused the crash. */
-    Set<String> cohort() {
-      return hasStarted() ? startedTraits : waitingTraits;
-    }
-
-    boolean hasStarted() {
-      return !startedTraits.isEmpty();
-    }
-
-    int size() {
-      return startedTraits.size() + waitingTraits.size();
-    }
-  }
-
   private static final class BlockState {
     long lastRequestAtMillis;
     long lastTrialAtMillis;
@@ -146,10 +89,9 @@
   }
 
   private final CrashPolicy policy;
-  private final Deque<Crash> crashes = new ArrayDeque<>();
+  private final CrashRecords crashes;
   private final Map<Set<String>, BlockState> blocks = new LinkedHashMap<>();
   private final Map<String, Clearance> clearances = new LinkedHashMap<>();
-  private int storedTraits;
 
   /**
    * Creates a detector without evidence.
@@ -159,6 +101,7 @@
    */
   public CrashDetector(CrashPolicy policy) {
     this.policy = Objects.requireNonNull(policy, "policy");
+    this.crashes = new CrashRecords(policy.oncePerUpstream());
   }
 
   /**
@@ -198,7 +141,7 @@
    * @param sighting the request
    */
   public void onCrash(Sighting sighting) {
-    findOrAddCrash(sighting).withdrawn = false;
+    crashes.add(sighting).reinstate();
     onReport(List.of(sighting));
   }
 
@@ -209,13 +152,7 @@
    */
   public void onReport(Collection<Sighting> sightings) {
     for (Sighting s : sightings) {
-      Crash c = findOrAddCrash(s);
-      int before = c.size();
-      if (before + s.traits().size() <= MAX_TRAITS_PER_CRASH) {
-        (s.started() ? c.startedTraits : c.waitingTraits).addAll(s.traits());
-      }
-      storedTraits += c.size() - before;
-      explain(c);
+      explain(crashes.add(s));
       blocks.forEach(
           (traits, state) -> {
             if (s.traits().containsAll(traits)) {
@@ -223,29 +160,12 @@
             }
           });
     }
-    while (crashes.size() > MAX_STORED_CRASHES || storedTraits > MAX_STORED_TRAITS) {
-      storedTraits -= crashes.removeFirst().size();
-    }
-  }
-
-  private Crash findOrAddCrash(Sighting s) {
-    for (Crash c : crashes) {
-      boolean isSameCrash =
-          c.upstream.equals(s.upstream())
-              && Math.abs(c.atMillis - s.atMillis()) < SAME_CRASH_MILLIS;
-      if (isSameCrash) {
-        return c;
-      }
-    }
-    Crash c = new Crash(s.upstream(), s.atMillis());
-    crashes.addLast(c);
-    return c;
   }
 
   /** A crash that blocked traits caused is no evidence against other traits. */
   private void explain(Crash crash) {
-    crash.explanation =
-        blocks.keySet().stream().filter(crash.cohort()::containsAll).findFirst().orElse(Set.of());
+    crash.explainBy(
+        blocks.keySet().stream().filter(crash.cohort()::containsAll).findFirst().orElse(Set.of()));
   }
 
   /**
@@ -259,18 +179,11 @@
    * @return true if a crash was withdrawn
    */
   public boolean onAlive(String upstream, long sentAtMillis, long nowMillis) {
-    boolean withdrewAny = false;
-    for (Crash c : crashes) {
-      boolean isRefuted =
-          c.upstream.equals(upstream)
-              && nowMillis - c.atMillis >= LIFE_SIGN_DELAY_MILLIS
-              && sentAtMillis - c.atMillis < SHORTEST_RESTART_MILLIS;
-      if (isRefuted && !c.withdrawn) {
-        c.withdrawn = true;
-        withdrewAny = true;
-      }
-    }
-    return withdrewAny;
+    return crashes.withdraw(
+        c ->
+            c.upstream().equals(upstream)
+                && nowMillis - c.atMillis() >= LIFE_SIGN_DELAY_MILLIS
+                && sentAtMillis - c.atMillis() < SHORTEST_RESTART_MILLIS);
   }
 
   /**
@@ -280,7 +193,7 @@
    * @return true if it crashed and the crash was not withdrawn
    */
   public boolean hasCrashed(String upstream) {
-    return crashes.stream().anyMatch(c -> !c.withdrawn && c.upstream.equals(upstream));
+    return crashes.stream().anyMatch(c -> c.upstream().equals(upstream));
   }
 
   /**
@@ -346,7 +259,7 @@
               || episodes(involving) >= policy.waitingSuspicion();
       return isSuspect ? Verdict.SUSPECT : Verdict.CLEAR;
     }
-    long newestMillis = unexplained.stream().mapToLong(c -> c.atMillis).max().orElse(0);
+    long newestMillis = unexplained.stream().mapToLong(c -> c.atMillis()).max().orElse(0);
     if (newestMillis + policy.reportGraceMillis() > nowMillis) {
       return Verdict.UNDECIDED;
     }
@@ -356,21 +269,21 @@
   }
 
   private boolean isInvolved(Crash crash, String trait) {
-    if (crash.withdrawn || !crash.cohort().contains(trait)) {
+    if (!crash.cohort().contains(trait)) {
       return false;
     }
     Clearance c = clearances.get(trait);
-    return c == null || crash.atMillis > c.atMillis();
+    return c == null || crash.atMillis() > c.atMillis();
   }
 
   private static boolean isUnexplained(Crash crash, String trait) {
-    return crash.explanation.isEmpty() || crash.explanation.contains(trait);
+    return crash.explanation().isEmpty() || crash.explanation().contains(trait);
   }
 
   private int episodes(List<Crash> list) {
     int count = 0;
     long lastMillis = 0;
-    for (long at : list.stream().mapToLong(c -> c.atMillis).sorted().toArray()) {
+    for (long at : list.stream().mapToLong(c -> c.atMillis()).sorted().toArray()) {
       if (count == 0 || at - lastMillis >= policy.episodeMillis()) {
         count++;
         lastMillis = at;
@@ -395,7 +308,7 @@
     expire(nowMillis);
     Set<String> suspects = new HashSet<>();
     crashes.stream()
-        .filter(c -> nowMillis - c.atMillis < EVALUATION_MILLIS)
+        .filter(c -> nowMillis - c.atMillis() < EVALUATION_MILLIS)
         .forEach(c -> suspects.addAll(c.cohort()));
     Set<Set<String>> before = Set.copyOf(blocks.keySet());
     suspects.forEach(t -> judgeEvidence(t, Set.of(t), nowMillis));
@@ -410,21 +323,17 @@
     blocks.keySet().removeIf(b -> b.containsAll(block));
     blocks.put(block, new BlockState(atMillis));
     trim(blocks.keySet(), MAX_BLOCKS);
-    for (Crash c : crashes) {
-      if (c.explanation.isEmpty() && c.cohort().containsAll(block)) {
-        c.explanation = block;
-      }
-    }
+    crashes.stream()
+        .filter(c -> c.explanation().isEmpty() && c.cohort().containsAll(block))
+        .forEach(c -> c.explainBy(block));
     explainAgain();
   }
 
   /** Finds new explanations for the crashes whose block is gone. */
   private void explainAgain() {
-    for (Crash c : crashes) {
-      if (!c.explanation.isEmpty() && !blocks.containsKey(c.explanation)) {
-        explain(c);
-      }
-    }
+    crashes.stream()
+        .filter(c -> !c.explanation().isEmpty() && !blocks.containsKey(c.explanation()))
+        .forEach(this::explain);
   }
 
   private static void trim(Set<?> keys, int limit) {
@@ -442,7 +351,7 @@
    * @return true if no crash is so recent that a verdict has to wait
    */
   public boolean isSettled(long nowMillis) {
-    return crashes.stream().allMatch(c -> c.atMillis + policy.reportGraceMillis() <= nowMillis);
+    return crashes.stream().allMatch(c -> c.atMillis() + policy.reportGraceMillis() <= nowMillis);
   }
 
   /**
@@ -580,13 +489,11 @@
 
   /** Returns the number of traits and sets of traits that are stored. */
   int storedEntries() {
-    return storedTraits + blocks.size() + clearances.size();
+    return crashes.traitCount() + blocks.size() + clearances.size();
   }
 
   private void expire(long nowMillis) {
-    while (!crashes.isEmpty() && crashes.peekFirst().atMillis + RETENTION_MILLIS < nowMillis) {
-      storedTraits -= crashes.removeFirst().size();
-    }
+    crashes.removeBefore(nowMillis - RETENTION_MILLIS);
     blocks.values().removeIf(b -> b.lastRequestAtMillis + BLOCK_MILLIS < nowMillis);
     clearances.values().removeIf(c -> c.atMillis() + RETENTION_MILLIS < nowMillis);
   }
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashPolicy.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashPolicy.java
@@ -11,6 +11,7 @@
  * @param waitingSuspicion episodes at which requests with a trait were unanswered, from which the
  *     trait is suspected
  * @param episodeMillis duration of an episode in milliseconds, 0 if each crash counts
+ * @param oncePerUpstream whether the name of an upstream stands for one run of it
  * @param reportGraceMillis time to wait for the reports of other daemons before a trait is blocked,
  *     in milliseconds
  */
@@ -19,14 +20,15 @@
     int waitingEpisodes,
     int waitingSuspicion,
     long episodeMillis,
+    boolean oncePerUpstream,
     long reportGraceMillis) {
 
   /** For requests that are known by a fingerprint of their whole content only. */
-  public static final CrashPolicy WHOLE_REQUESTS = new CrashPolicy(2, 2, 1, 0, 1_000);
+  public static final CrashPolicy WHOLE_REQUESTS = new CrashPolicy(2, 2, 1, 0, false, 1_000);
 
   /**
    * For requests that share some of their traits with others. A request without any byte of a
    * response may not have been started, so that it takes three episodes to be evidence.
    */
-  public static final CrashPolicy SHARED_TRAITS = new CrashPolicy(2, 3, 2, 500, 100);
+  public static final CrashPolicy SHARED_TRAITS = new CrashPolicy(2, 3, 2, 500, true, 100);
 }
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashReport.java
@@ -15,8 +15,8 @@
 public record CrashReport(
     String replyTo,
     List<CrashDetector.Sighting> sightings,
-    List<CrashDetector.Block> blocks,
-    List<CrashDetector.Clearance> clearances) {
+    List<Block> blocks,
+    List<Clearance> clearances) {
 
   /** Copies the lists. */
   public CrashReport {
--- a/core/src/test/java/org/hibiscusreel/core/crash/CrashDetectorTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/crash/CrashDetectorTest.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.hibiscusreel.core.crash.CrashDetector.Block;
-import org.hibiscusreel.core.crash.CrashDetector.Clearance;
 import org.hibiscusreel.core.crash.CrashDetector.Sighting;
 import org.hibiscusreel.core.crash.CrashDetector.Verdict;
 import org.junit.jupiter.api.Test;
@@ -146,6 +144,14 @@
     assertThat(parts.hasCrashed("e1")).isTrue();
   }
 
+  /** Guards against one crash that counts twice because its report waited in a frozen daemon. */
+  @Test
+  void countsLateReportOfKnownCrashOnce() {
+    parts.onReport(List.of(started("e1@1", 1_000, "sound")));
+    parts.onReport(List.of(started("e1@1", 12_000, "sound")));
+    assertThat(parts.judge(Set.of("sound"), 20_000)).isEqualTo(Verdict.SUSPECT);
+  }
+
   /** Guards against an account that gets a part blocked which it shares with others. */
   @Test
   void triesPartOfOneAccountForOthers() {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.hibiscusreel.core.crash.CrashDetector.Block;
+import org.hibiscusreel.core.crash.Block;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.UpstreamLimits;
