Shorten the forwarding of one request

The list of attempts for the log and the choice between a refusal and a failure have a place of their own.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -1,6 +1,5 @@
 package org.hibiscusreel.coordination.forward;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -43,12 +42,6 @@
   /** Default retry advice in milliseconds for a request that did not run. */
   static final long RETRY_AFTER_MILLIS = 300;
 
-  /** Interval in milliseconds at which a suspect that has to wait is judged again. */
-  static final long SUSPECT_POLL_MILLIS = 50;
-
-  /** Longest wait of a suspect in milliseconds; the reports of a crash arrive within it. */
-  static final long MAX_SUSPECT_WAIT_MILLIS = 500;
-
   /**
    * Delay in milliseconds after which it is known whether an upstream that broke off a request has
    * ended or goes on answering others.
@@ -75,8 +68,7 @@
   private final long callerDeadlineAtMillis;
   private final long timeoutAtMillis;
   private final Set<String> triedUpstreams = new HashSet<>();
-  private final List<String> attemptResults = new ArrayList<>();
-  private final List<String> attemptProgress = new ArrayList<>();
+  private final AttemptHistory attempts = new AttemptHistory();
   private Set<String> knownTraits;
   private Optional<UpstreamCrashes.Admission.Suspect> suspect = Optional.empty();
   private long suspectSinceMillis;
@@ -119,7 +111,7 @@
     forwarder.retryBudget(service.name()).onRequest();
     request.prompt().ifPresent(p -> forwarder.promptSizes(service.name()).add(p.promptTokens()));
     if (forwarder.crashes().isBlocked(this::traits)) {
-      refuse(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS);
+      endBlocked();
       return;
     }
     if (tokensToReserve() == 0) {
@@ -197,27 +189,20 @@
     } else if (admission instanceof UpstreamCrashes.Admission.Later) {
       awaitVerdict();
     } else {
-      suspect =
-          admission instanceof UpstreamCrashes.Admission.Suspect s
-              ? Optional.of(s)
-              : Optional.empty();
+      suspect = admission.suspect();
       send();
     }
   }
 
   private void endBlocked() {
-    if (mayHaveRun) {
-      endUnserved(CRASHES_UPSTREAMS);
-    } else {
-      refuse(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS);
-    }
+    endUnserved(new Refusal(Refusal.Kind.CRASHES_UPSTREAMS, 0, CRASHES_UPSTREAMS));
   }
 
   private void awaitVerdict() {
     long now = forwarder.scheduler().nowMillis();
     suspectSinceMillis = suspectSinceMillis == 0 ? now : suspectSinceMillis;
-    if (now - suspectSinceMillis < MAX_SUSPECT_WAIT_MILLIS) {
-      forwarder.scheduler().schedule(SUSPECT_POLL_MILLIS, this::dispatch);
+    if (now - suspectSinceMillis < UpstreamCrashes.MAX_SUSPECT_WAIT_MILLIS) {
+      forwarder.scheduler().schedule(UpstreamCrashes.SUSPECT_POLL_MILLIS, this::dispatch);
     } else {
       endUnserved("the cause of recent crashes is examined");
     }
@@ -225,9 +210,10 @@
 
   /** Ends the request if it is blocked and no upstream has begun to answer it. */
   void endIfBlocked() {
-    boolean isAnswering =
-        streamBegun || (attempt != null && attempt.progress() == AttemptProgress.ANSWERING);
-    if (!ended && attempt != null && !isAnswering && forwarder.crashes().isBlocked(this::traits)) {
+    if (ended || attempt == null || streamBegun) {
+      return;
+    }
+    if (!attempt.progress().isAnswering() && forwarder.crashes().isBlocked(this::traits)) {
       cancelAttempt("crashes upstreams");
       endBlocked();
     }
@@ -281,14 +267,11 @@
   private void endWithoutUpstream() {
     OptionalLong retryAfter =
         forwarder.limitedRetryMillis(service.name(), request.prompt(), maxFirstEventMillis());
-    if (retryAfter.isPresent() && !mayHaveRun) {
-      refuse(
-          Refusal.Kind.NOT_RUN,
-          retryAfter.getAsLong(),
-          "all upstreams of " + service.name() + " are at their limits or full");
-    } else {
-      endUnserved("no upstream of " + service.name() + " is left");
-    }
+    String reason =
+        retryAfter.isPresent()
+            ? "all upstreams of " + service.name() + " are at their limits or full"
+            : "no upstream of " + service.name() + " is left";
+    endUnserved(new Refusal(Refusal.Kind.NOT_RUN, retryAfter.orElse(RETRY_AFTER_MILLIS), reason));
   }
 
   private long remainingMillis() {
@@ -385,8 +368,7 @@
 
   private void recordAttemptResult(String result) {
     long after = forwarder.scheduler().nowMillis() - arrivalMillis;
-    attemptResults.add(attempt.upstream().id() + "@" + after + " " + result);
-    attemptProgress.add(attempt.progress().name());
+    attempts.add(attempt.upstream().id(), after, result, attempt.progress());
     attempt = null;
     releaseSuspect();
   }
@@ -397,16 +379,21 @@
   }
 
   private void endUnserved(String reason) {
+    endUnserved(new Refusal(Refusal.Kind.NOT_RUN, RETRY_AFTER_MILLIS, reason));
+  }
+
+  /** Ends the request with a refusal that holds if no upstream may have run it. */
+  private void endUnserved(Refusal refusalIfNotRun) {
     if (ended) {
       return;
     }
     if (streamBegun) {
       caller.abort();
-      finish("aborted: " + reason, false);
+      finish("aborted: " + refusalIfNotRun.detail(), false);
     } else if (mayHaveRun) {
-      refuse(Refusal.Kind.FAILED, 0, reason);
+      refuse(Refusal.Kind.FAILED, 0, refusalIfNotRun.detail());
     } else {
-      refuse(Refusal.Kind.NOT_RUN, RETRY_AFTER_MILLIS, reason);
+      refuse(refusalIfNotRun);
     }
   }
 
@@ -501,9 +488,9 @@
     fields.put("events", eventsDelivered);
     request.prompt().ifPresent(p -> fields.put("prompt_tokens", p.promptTokens()));
     fields.put("charged_tokens", charged);
-    fields.put("attempts", attemptResults);
+    fields.put("attempts", attempts.results());
     if (mayHaveRun) {
-      fields.put("attempt_progress", attemptProgress);
+      fields.put("attempt_progress", attempts.progress());
       request.prompt().ifPresent(p -> fields.put("prompt_parts", p.sharedPartIds()));
     }
     fields.put("outcome", outcome);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
@@ -64,6 +65,11 @@
   /** Whether a request may be dispatched. */
   sealed interface Admission {
 
+    /** Returns the suspect to release after the dispatch, empty if there is none. */
+    default Optional<Suspect> suspect() {
+      return this instanceof Suspect s ? Optional.of(s) : Optional.empty();
+    }
+
     /** The request may be dispatched. */
     record Free() implements Admission {}
 
--- a/core/src/main/java/org/hibiscusreel/core/forward/AttemptProgress.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/AttemptProgress.java
@@ -7,5 +7,14 @@
   /** The head of the response arrived, but no event and no byte of a body. */
   STARTED,
   /** An event, or a byte of a body, arrived. */
-  ANSWERING
+  ANSWERING;
+
+  /**
+   * Tells whether the upstream has begun to answer.
+   *
+   * @return true if content of the response arrived
+   */
+  public boolean isAnswering() {
+    return this == ANSWERING;
+  }
 }
