Do not take an empty buffer for an answer

The HTTP client passes on empty buffers, so that a plain request whose upstream ended after the head counted as answered, and was no evidence of a crash. takesEmptyBufferForNoAnswer covers it; found through the test of empty responses without a length.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -174,7 +174,7 @@
     if (isStream()) {
       framer.accept(bytes);
     } else {
-      isAnswered = true;
+      isAnswered |= bytes.length > 0;
       bodyBuffer.writeBytes(bytes);
     }
     if (!ended && !forwarder.responseBuffers().resize(this, bufferedBytes())) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -132,6 +132,19 @@
     assertThat(line).containsEntry("prompt_parts", List.of("common", "special"));
   }
 
+  /** Guards against an empty buffer that hides that no content of the response arrived. */
+  @Test
+  void takesEmptyBufferForNoAnswer() {
+    ForwardHarness h = plain(RetryPolicy.ONCE, 1);
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    h.last().head(200);
+    h.last().bytes("");
+    h.last().fail(AttemptOutcome.BROKEN);
+    h.scheduler.run(ForwardTask.CRASH_CHECK_MILLIS);
+    assertThat(h.logLines.get(h.logLines.size() - 1))
+        .containsEntry("attempt_progress", List.of("STARTED"));
+  }
+
   /** Guards against stating "not run" although one attempt may have run. */
   @Test
   void doesNotStateNotRunAfterAnAttemptThatMayHaveRun() {
