Bound the log lines about blocked traits

Each new block wrote all blocks in force, up to 500, so that a flood of distinct parts would have written half a megabyte for each of them.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
@@ -60,6 +60,7 @@
   /** Largest number of traits in each part of a report, so that it fits into a datagram. */
   static final int MAX_REPORTED_TRAITS = 60;
 
+  private static final int MAX_LOGGED_BLOCKS = 10;
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /** Whether a request may be dispatched. */
@@ -305,6 +306,7 @@
   private void onBlocked(String source) {
     List<String> sets =
         detector.blocks(scheduler.nowMillis()).stream()
+            .limit(MAX_LOGGED_BLOCKS)
             .map(b -> String.join(" ", new TreeSet<>(b.epochs().keySet())))
             .sorted()
             .toList();
