Compute the share of a limit in one place

Two methods of LoadExchange looked up the limit of an upstream in the same way. Also names the age up to which crashes are evaluated.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -172,12 +172,7 @@
    * @return time to wait in milliseconds, 0 if it takes one now
    */
   long waitMillis(String upstream) {
-    OptionalDouble limit = limits.perSecond(upstream);
-    if (limit.isEmpty()) {
-      return 0;
-    }
-    double share = limitShare(upstream, limit.getAsDouble());
-    return limits.waitMillis(upstream, share, scheduler.nowMillis());
+    return limits.waitMillis(upstream, limitShare(upstream), scheduler.nowMillis());
   }
 
   /**
@@ -186,25 +181,24 @@
    * @return 0 to 1, 1 if the upstream has named no limit
    */
   double spareFraction(String upstream) {
-    OptionalDouble limit = limits.perSecond(upstream);
-    if (limit.isEmpty()) {
-      return 1;
-    }
-    double share = limitShare(upstream, limit.getAsDouble());
-    return limits.spareFraction(upstream, share, scheduler.nowMillis());
+    return limits.spareFraction(upstream, limitShare(upstream), scheduler.nowMillis());
   }
 
   /**
    * Returns the part of a limit that this daemon and those it hears may use. The rest is left to
    * daemons from which it hears nothing.
    */
-  private double limitShare(String upstream, double perSecond) {
+  private double limitShare(String upstream) {
+    OptionalDouble perSecond = limits.perSecond(upstream);
+    if (perSecond.isEmpty()) {
+      return 1;
+    }
     int daemons = Math.max(1, daemonCount.getAsInt());
     if (isCommon()) {
       int heard = peerLoads.senderCount(scheduler.nowMillis(), HEARD_MILLIS);
       return Math.min(1, (1.0 + heard) / daemons);
     }
-    int owners = (int) Math.max(1, Math.min(daemons, Math.ceil(perSecond)));
+    int owners = (int) Math.max(1, Math.min(daemons, Math.ceil(perSecond.getAsDouble())));
     return ownRank(upstream) < owners ? 1.0 / owners : 0;
   }
 
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
@@ -44,7 +44,9 @@
   /** Time that an upstream takes at least to start again, in milliseconds. */
   public static final long SHORTEST_RESTART_MILLIS = 1_000;
 
+  /** Age up to which a crash is evaluated again when reports of it may arrive, in milliseconds. */
   private static final long EVALUATION_MILLIS = 5_000;
+
   private static final int MAX_BLOCKS = 500;
   private static final int MAX_CLEARANCES = 2_000;
 
@@ -259,7 +261,7 @@
               || episodes(involving) >= policy.waitingSuspicion();
       return isSuspect ? Verdict.SUSPECT : Verdict.CLEAR;
     }
-    long newestMillis = unexplained.stream().mapToLong(c -> c.atMillis()).max().orElse(0);
+    long newestMillis = unexplained.stream().mapToLong(Crash::atMillis).max().orElse(0);
     if (newestMillis + policy.reportGraceMillis() > nowMillis) {
       return Verdict.UNDECIDED;
     }
@@ -283,7 +285,7 @@
   private int episodes(List<Crash> list) {
     int count = 0;
     long lastMillis = 0;
-    for (long at : list.stream().mapToLong(c -> c.atMillis()).sorted().toArray()) {
+    for (long at : list.stream().mapToLong(Crash::atMillis).sorted().toArray()) {
       if (count == 0 || at - lastMillis >= policy.episodeMillis()) {
         count++;
         lastMillis = at;
@@ -364,9 +366,6 @@
    */
   public List<Clearance> onCompleted(Set<String> traits, long nowMillis) {
     List<Clearance> changed = new ArrayList<>();
-    if (isIdle()) {
-      return changed;
-    }
     for (String t : traits) {
       boolean isSuspect =
           blocks.keySet().stream().anyMatch(b -> b.contains(t))
