Refuse what is expected after the target instead of twice the target

While upstreams limit what they take, a request was sent to an unlimited one whose first event was expected within twice the target of the route. In a lasting overload the queue then has that length and nearly all responses are late.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -48,12 +48,6 @@
    */
   static final long CRASH_CHECK_MILLIS = 150;
 
-  /**
-   * A request is refused rather than sent to an upstream whose first event is expected after this
-   * many times the target of the route; a response that is somewhat late is still of use.
-   */
-  static final long LATE_TARGET_FACTOR = 2;
-
   private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
   private static final int STATUS_SERVER_ERROR = 500;
 
@@ -261,7 +255,7 @@
 
   /** Returns how late the first event may be expected, which no longer matters once one came. */
   private long maxFirstEventMillis() {
-    return streamBegun ? Long.MAX_VALUE : LATE_TARGET_FACTOR * route.targetMillis();
+    return streamBegun ? Long.MAX_VALUE : route.targetMillis();
   }
 
   private void endWithoutUpstream() {
