--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -10,6 +10,7 @@
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
+import org.hibiscusreel.core.forward.RequestLimit;
 import org.junit.jupiter.api.Test;
 
 class LoadExchangeTest {
@@ -125,4 +126,28 @@
     assertThat((long) sent.size() * peers.length)
         .isLessThanOrEqualTo(seconds * LoadExchange.MAX_REPORTS_PER_SECOND + peers.length);
   }
+
+  /** Guards against an idle daemon whose silence makes others leave it a share of a limit. */
+  @Test
+  void reportsLimitsWithoutLoad() {
+    LoadExchange a = daemon("a", "b");
+    final LoadExchange b = daemon("b", "a");
+    a.limits().onResponse("u", new RequestLimit.Limited(2), 0, 0);
+    scheduler.run(3 * LoadExchange.REPEAT_INTERVAL_MILLIS);
+    assertThat(b.limits().perSecond("u")).hasValue(2);
+    assertThat(b.waitMillis("u")).isZero();
+    assertThat(a.spareFraction("u")).isEqualTo(1);
+  }
+
+  /**
+   * Guards against a daemon that uses the whole limit although it hears only some of the others.
+   */
+  @Test
+  void leavesTheShareOfDaemonsThatAreNotHeard() {
+    daemonCount = 4;
+    LoadExchange a = daemon("a", "b", "c", "d");
+    daemon("b", "a", "c", "d").limits().onResponse("u", new RequestLimit.Limited(1), 0, 0);
+    scheduler.run(LoadExchange.REPEAT_INTERVAL_MILLIS + 1);
+    assertThat(a.waitMillis("u")).isBetween(1_900L, 2_000L);
+  }
 }
--- a/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
@@ -58,4 +58,23 @@
     assertThat(loads.at("u")).isEqualTo(new PeerLoads.Load(1, 50));
     assertThat(loads.senderCount()).isEqualTo(1);
   }
+
+  /** Guards against a share of a limit that counts on daemons which are no longer heard. */
+  @Test
+  void countsSendersOfRecentReports() {
+    PeerLoads recent = new PeerLoads();
+    recent.onReport(report("a", 1), 1_000);
+    recent.onReport(report("b", 1), 2_000);
+    assertThat(recent.senderCount(2_000, 1_000)).isEqualTo(2);
+    assertThat(recent.senderCount(2_001, 1_000)).isEqualTo(1);
+  }
+
+  /** Guards against a late report that replaces a newer one. */
+  @Test
+  void tellsWhetherReportIsTheLatest() {
+    PeerLoads latest = new PeerLoads();
+    assertThat(latest.onReport(report("a", 2), 0)).isTrue();
+    assertThat(latest.onReport(report("a", 1), 0)).isFalse();
+    assertThat(latest.onReport(report("a", 3), 0)).isTrue();
+  }
 }
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamSelectorTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamSelectorTest.java
@@ -150,4 +150,41 @@
     list.get(1).load().onFailure(0);
     assertThat(UpstreamSelector.choose(list, Optional.empty(), "here", 0, () -> 0)).isPresent();
   }
+
+  /** Guards against suspects that are spread over upstreams and crash several of them. */
+  @Test
+  void sendsSuspectsOfTheSameKeyToTheSameUpstream() {
+    List<UpstreamSelector.Candidate> own = candidates(8);
+    List<UpstreamSelector.Candidate> other = candidates(8);
+    own.forEach(c -> c.load().onSent(random.nextInt(10_000)));
+    Set<String> chosen = new HashSet<>();
+    for (int i = 0; i < 50; i++) {
+      String key = "key" + i;
+      UpstreamSelector.Choice c =
+          UpstreamSelector.chooseByKey(own, Optional.of(prompt("p")), key, 0).orElseThrow();
+      assertThat(
+              UpstreamSelector.chooseByKey(other, Optional.empty(), key, 0)
+                  .orElseThrow()
+                  .candidate()
+                  .entry())
+          .isEqualTo(c.candidate().entry());
+      assertThat(c.prefillTokens()).isEqualTo(1_000);
+      chosen.add(c.candidate().entry().id());
+    }
+    assertThat(chosen).hasSizeGreaterThan(4);
+    assertThat(UpstreamSelector.chooseByKey(List.of(), Optional.empty(), "key", 0)).isEmpty();
+  }
+
+  @Test
+  void sendsSuspectsToNoSuspendedUpstream() {
+    List<UpstreamSelector.Candidate> list = candidates(2);
+    list.get(0).load().onFailure(0);
+    for (int i = 0; i < 20; i++) {
+      assertThat(
+              UpstreamSelector.chooseByKey(list, Optional.empty(), "key" + i, 1)
+                  .orElseThrow()
+                  .candidate())
+          .isEqualTo(list.get(1));
+    }
+  }
 }
