Name what sets a limit, and keep the format of limits beside it

Reading the diff as a newcomer: a method called state and a nested class that held one pattern. No change of behaviour; the tests of limits pass.

--- a/core/src/main/java/org/hibiscusreel/core/forward/RequestLimit.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/RequestLimit.java
@@ -6,6 +6,12 @@
 /** What a response says about the requests that its upstream takes from all daemons together. */
 public sealed interface RequestLimit {
 
+  /** Longest part of an invalid limit that is kept, in characters. */
+  int MAX_SHOWN_LENGTH = 40;
+
+  /** Form of a limit: a decimal number without sign or exponent. */
+  Pattern DECIMAL = Pattern.compile("\\d{1,30}(\\.\\d{0,30})?|\\.\\d{1,30}");
+
   /** Largest limit in requests per second; larger ones mean the same. */
   double MAX_PER_SECOND = 1_000_000;
 
@@ -37,17 +43,8 @@
       return new Unlimited();
     }
     String number = text.get().strip();
-    return Format.DECIMAL.matcher(number).matches()
+    return DECIMAL.matcher(number).matches()
         ? new Limited(Math.min(MAX_PER_SECOND, Double.parseDouble(number)))
-        : new Invalid(number.substring(0, Math.min(number.length(), Format.MAX_SHOWN_LENGTH)));
-  }
-
-  /** Form of the number. */
-  final class Format {
-
-    private static final int MAX_SHOWN_LENGTH = 40;
-    private static final Pattern DECIMAL = Pattern.compile("\\d{1,30}(\\.\\d{0,30})?|\\.\\d{1,30}");
-
-    private Format() {}
+        : new Invalid(number.substring(0, Math.min(number.length(), MAX_SHOWN_LENGTH)));
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLimits.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLimits.java
@@ -97,7 +97,7 @@
   public boolean onResponse(
       String upstream, RequestLimit limit, long sentAtMillis, long nowMillis) {
     if (limit instanceof RequestLimit.Limited l) {
-      return state(upstream, OptionalDouble.of(l.perSecond()), nowMillis, nowMillis);
+      return setLimit(upstream, OptionalDouble.of(l.perSecond()), nowMillis, nowMillis);
     }
     State s = states.get(upstream);
     boolean isEnd =
@@ -105,10 +105,10 @@
             && s != null
             && s.perSecond.isPresent()
             && sentAtMillis > s.statedAtMillis;
-    return isEnd && state(upstream, OptionalDouble.empty(), nowMillis, nowMillis);
+    return isEnd && setLimit(upstream, OptionalDouble.empty(), nowMillis, nowMillis);
   }
 
-  private boolean state(
+  private boolean setLimit(
       String upstream, OptionalDouble perSecond, long statedAtMillis, long nowMillis) {
     State s = states.computeIfAbsent(upstream, u -> new State());
     if (s.statedAtMillis > statedAtMillis) {
@@ -136,7 +136,7 @@
   public void onReport(String sender, List<Report> reports, boolean isCommon, long nowMillis) {
     for (Report r : reports) {
       boolean wasKnown = perSecond(r.upstream()).isPresent();
-      state(r.upstream(), r.perSecond(), nowMillis - r.ageMillis(), nowMillis);
+      setLimit(r.upstream(), r.perSecond(), nowMillis - r.ageMillis(), nowMillis);
       Long before = sentByOthers.put(new SenderUpstream(sender, r.upstream()), r.sent());
       if (wasKnown && isCommon) {
         states.get(r.upstream()).take(Math.max(0L, r.sent() - (before == null ? 0L : before)));
