Log what a takeover of tokens counts as consumed

The line allotment names the run whose row is taken over, but neither what that run had declared as consumed nor the age of its ceiling, so the log does not tell tokens that were consumed from tokens that the ceiling strands.

Change: a line with a run before has before_spent and ceiling_age_ms as well.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -414,6 +414,10 @@
     fields.put("prepaid", prepaid);
     fields.put("spent", next.spent());
     fields.put("before", isOwner ? "" : rows.holder().incarnation());
+    if (isTakeoverPending()) {
+      fields.put("before_spent", rows.holder().spent());
+      fields.put("ceiling_age_ms", clock.millis() - rows.holder().ceiling().sinceMillis());
+    }
     fields.put("outcome", result.getClass().getSimpleName());
     log.record("allotment", fields);
   }
