--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -9,15 +9,9 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
-import org.hibiscusreel.coordination.port.Mutation;
-import org.hibiscusreel.coordination.port.ReadResult;
-import org.hibiscusreel.coordination.port.TableService;
-import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.FakeTable.Fault;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
@@ -34,26 +28,6 @@
   private final FakeTable table = new FakeTable(scheduler);
   private final Set<String> killed = new HashSet<>();
 
-  /** Forwards calls to the table until the process is killed. */
-  private record KillableTable(TableService table, BooleanSupplier isAlive)
-      implements TableService {
-
-    @Override
-    public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
-      return isAlive.getAsBoolean() ? table.transact(mutations) : new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<ReadResult> read(List<String> keys) {
-      return isAlive.getAsBoolean() ? table.read(keys) : new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
-      return isAlive.getAsBoolean() ? table.scan(prefix, after, limit) : new CompletableFuture<>();
-    }
-  }
-
   /** Starts a daemon on its own host. */
   private PrepaidBudgets daemon(String name, int daemons, long prepaid) {
     return daemon(name, name + ".1", daemons, prepaid);
