Count what a killed daemon can have consumed until its end only

Callers: after a loss of all hosts, requests got 402 although their account had received much less than it paid for.

Cause: a successor evaluated the ceiling of the run before at the moment of the takeover.

Change: the clock of the store bounds the time of the first call of the process, which is sent after the address is bound, by the first write that is answered: reads may come from an earlier state. Takeovers evaluate the ceiling at that time, and wait until it is known.

Test that failed before (with the time of the takeover): PrepaidBudgetsTest.countsNothingAsConsumedAfterTheKilledDaemonHadEnded, 'Expecting actual: 86000L to be between: 90000L and 100000L'.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -26,9 +26,9 @@
  * transaction or version conflict determines its outcome.
  *
  * <p>The row of a host remains after the incarnation that wrote it has ended. A new incarnation
- * takes over the row with all tokens that the previous one can't have consumed. The previous
- * incarnation is known to be dead because this daemon could bind the address on which it serves
- * callers: a live process would still hold it.
+ * takes over the row with all tokens that the previous one can't have consumed until its end. It
+ * had ended before this daemon sent its first call to the store, because this daemon had bound the
+ * address on which it serves callers before: a live process would still hold it.
  */
 final class AccountBudget {
 
@@ -167,6 +167,10 @@
       readBothRows();
       return;
     }
+    if (isTakeoverPending() && !inherit()) {
+      onFailure("the time of the store at the start of this process is not known yet");
+      return;
+    }
     long change = desiredChange();
     if (change == 0 && !outcomeUnknown && !needsWrite()) {
       onNothingToChange();
@@ -194,6 +198,25 @@
     return !isOwner && rows.holder().drawn() > 0;
   }
 
+  /**
+   * Inherits the tokens that the previous incarnation can't have consumed.
+   *
+   * @return false if it is not known yet by which time of the store that incarnation had ended
+   */
+  private boolean inherit() {
+    long endedAtMost = clock.firstCallMillis();
+    if (endedAtMost == Long.MAX_VALUE) {
+      return false;
+    }
+    AllotmentRows.HolderRow holder = rows.holder();
+    allotment.inheritFrom(
+        holder.spentAtMost(endedAtMost),
+        holder.requests(),
+        holder.forecast(),
+        scheduler.nowMillis());
+    return true;
+  }
+
   private long desiredChange() {
     if (isFenced || isTakeoverPending()) {
       return 0;
@@ -322,10 +345,6 @@
     isOwner = holder.incarnation().equals(incarnation);
     if (wasOwner && !isOwner) {
       onFenced(holder.incarnation());
-    } else if (!isOwner && holder.drawn() > 0) {
-      boolean isTimeKnown = clock.millis() > 0;
-      long spent = isTimeKnown ? holder.spentAtMost(clock.millis()) : holder.drawn();
-      allotment.inheritFrom(spent, holder.requests(), holder.forecast(), scheduler.nowMillis());
     }
     if (!outcomeUnknown || changed) {
       outcomeUnknown = false;
@@ -416,7 +435,7 @@
     fields.put("before", isOwner ? "" : rows.holder().incarnation());
     if (isTakeoverPending()) {
       fields.put("before_spent", rows.holder().spent());
-      fields.put("ceiling_age_ms", clock.millis() - rows.holder().ceiling().sinceMillis());
+      fields.put("ceiling_age_ms", clock.firstCallMillis() - rows.holder().ceiling().sinceMillis());
     }
     fields.put("outcome", result.getClass().getSimpleName());
     log.record("allotment", fields);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/StoreClock.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/StoreClock.java
@@ -1,7 +1,6 @@
 package org.hibiscusreel.coordination.port;
 
 /** Monotonic clock of the platform's store, which continues across restarts of the daemons. */
-@FunctionalInterface
 public interface StoreClock {
 
   /**
@@ -11,4 +10,12 @@
    *     decreasing; 0 before the first response
    */
   long millis();
+
+  /**
+   * Returns an upper bound of the store's time at the moment when this process sent its first call.
+   *
+   * @return time of the store in milliseconds; {@code Long.MAX_VALUE} before the first response to
+   *     a write
+   */
+  long firstCallMillis();
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetRecoveryTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetRecoveryTest.java
@@ -16,6 +16,7 @@
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.coordination.testing.VirtualStoreClock;
 import org.hibiscusreel.core.forward.AccountSettings;
 
 /** Simulates one client account on six hosts that all lose their processes at the same moment. */
@@ -57,7 +58,7 @@
         new PrepaidBudgets(
             new KillableTable(table, () -> !killed.contains(incarnation)),
             scheduler,
-            scheduler::nowMillis,
+            new VirtualStoreClock(scheduler),
             new PrepaidBudgets.Identity("h" + host, incarnation),
             600,
             () -> HOSTS,
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.coordination.testing.VirtualStoreClock;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.CallerLimits;
@@ -122,7 +123,7 @@
         new PrepaidBudgets(
             table,
             scheduler,
-            scheduler::nowMillis,
+            new VirtualStoreClock(scheduler),
             new PrepaidBudgets.Identity("d", "d.1"),
             800,
             this::daemonCount,
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -12,9 +12,12 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
+import org.hibiscusreel.coordination.platform.ObservedStoreClock;
+import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.FakeTable.Fault;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.coordination.testing.VirtualStoreClock;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.junit.jupiter.api.Test;
 
@@ -34,16 +37,22 @@
   }
 
   private PrepaidBudgets daemon(String host, String incarnation, int daemons, long prepaid) {
+    PrepaidBudgets b = daemon(host, incarnation, daemons, new VirtualStoreClock(scheduler));
+    b.updateAccounts(accountTerms(prepaid));
+    return b;
+  }
+
+  /** Starts a daemon that does not know the accounts yet. */
+  private PrepaidBudgets daemon(String host, String incarnation, int daemons, StoreClock clock) {
     PrepaidBudgets b =
         new PrepaidBudgets(
             new KillableTable(table, () -> !killed.contains(incarnation)),
             scheduler,
-            scheduler::nowMillis,
+            clock,
             new PrepaidBudgets.Identity(host, incarnation),
             800,
             () -> daemons,
             (e, f) -> {});
-    b.updateAccounts(accountTerms(prepaid));
     b.start();
     return b;
   }
@@ -216,6 +225,42 @@
     assertThat(served).isLessThanOrEqualTo(100_000L);
   }
 
+  /** Guards against tokens that a takeover strands because it comes long after the end. */
+  @Test
+  void countsNothingAsConsumedAfterTheKilledDaemonHadEnded() {
+    PrepaidBudgets killedDaemon = daemon("a", "a.1", 1, 100_000);
+    for (int i = 0; i < 30; i++) {
+      assertThat(reserve(killedDaemon, 1_000)).isInstanceOf(Outcome.Reserved.class);
+      killedDaemon.settle(ACCOUNT, 1_000, 1_000);
+      scheduler.run(200);
+    }
+    killed.add("a.1");
+    PrepaidBudgets successor = daemon("a", "a.2", 1, new VirtualStoreClock(scheduler));
+    scheduler.run(30_000);
+    successor.updateAccounts(accountTerms(100_000));
+    long served = 30_000;
+    while (reserve(successor, 1_000) instanceof Outcome.Reserved) {
+      successor.settle(ACCOUNT, 1_000, 1_000);
+      served += 1_000;
+    }
+    assertThat(served).isBetween(90_000L, 100_000L);
+  }
+
+  /** Guards against spending tokens of a killed daemon before it is known when it had ended. */
+  @Test
+  void takesOverNothingUntilTheEndOfTheKilledDaemonIsKnown() {
+    PrepaidBudgets killedDaemon = daemon("a", "a.1", 1, 100_000);
+    assertThat(reserve(killedDaemon, 1_000)).isInstanceOf(Outcome.Reserved.class);
+    killed.add("a.1");
+    ObservedStoreClock clock = new ObservedStoreClock(scheduler::nowMillis);
+    PrepaidBudgets successor = daemon("a", "a.2", 1, clock);
+    successor.updateAccounts(accountTerms(100_000));
+    assertThat(reserve(successor, 1_000)).isInstanceOf(Outcome.Unavailable.class);
+    clock.observeWrite(scheduler.nowMillis(), clock.beginCall());
+    scheduler.run(2 * AccountBudget.RETRY_DELAY_MILLIS);
+    assertThat(reserve(successor, 1_000)).isInstanceOf(Outcome.Reserved.class);
+  }
+
   /**
    * Guards against a new incarnation without tokens after a restart right before a store outage.
    */
--- a/coordination/src/test/java/org/hibiscusreel/coordination/platform/ObservedStoreClockTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/platform/ObservedStoreClockTest.java
@@ -31,4 +31,28 @@
     clock.observe(10_300);
     assertThat(clock.millis()).isEqualTo(10_300);
   }
+
+  /** Guards against taking the time of a late response for the time of the start. */
+  @Test
+  void boundsTheTimeOfTheFirstCallByTheFirstWriteThatIsAnswered() {
+    clock.beginCall();
+    assertThat(clock.firstCallMillis()).isEqualTo(Long.MAX_VALUE);
+    steady += 3_000;
+    long calledAt = clock.beginCall();
+    steady += 40;
+    clock.observeWrite(13_010, calledAt);
+    assertThat(clock.firstCallMillis()).isEqualTo(10_010);
+    clock.observeWrite(20_000, clock.beginCall());
+    assertThat(clock.firstCallMillis()).isEqualTo(10_010);
+    assertThat(clock.millis()).isEqualTo(20_000);
+  }
+
+  /** Guards against a bound from a read, which the store may answer from an earlier state. */
+  @Test
+  void doesNotBoundTheTimeOfTheFirstCallByReads() {
+    clock.beginCall();
+    clock.observe(10_000);
+    clock.observeWrite(0, clock.beginCall());
+    assertThat(clock.firstCallMillis()).isEqualTo(Long.MAX_VALUE);
+  }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -30,6 +30,7 @@
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
+import org.hibiscusreel.coordination.platform.ObservedStoreClock;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.CallerLimits;
 import org.hibiscusreel.core.forward.ForwardService;
@@ -199,7 +200,7 @@
               new PrepaidBudgets(
                   new UnreachableTableService(),
                   scheduler,
-                  scheduler::nowMillis,
+                  new ObservedStoreClock(scheduler::nowMillis),
                   new PrepaidBudgets.Identity("d", "d.1"),
                   800,
                   () -> 1,
