Let ceilings rise without a jump at the end of their steady time

Cause: a ceiling was flat for 4 s and then allowed the rise since its declaration, not since the end of these 4 s.

Change: a ceiling rises from the end of its steady time on.

--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -19,11 +19,17 @@
 
   /**
    * Time whose demand a ceiling allows beyond the consumed tokens, in addition to one request of
-   * typical size, in milliseconds. It spans the time at the start of an outage in which the ceiling
-   * does not rise. Tokens that the ceiling of a dead daemon allows but the daemon did not consume
-   * are lost for the day.
+   * typical size, in milliseconds. Tokens that the ceiling of a dead daemon allows until the daemon
+   * is replaced, about three seconds later, are lost for the day unless it consumed them.
    */
-  private static final long CEILING_AHEAD_MILLIS = SpendingCeiling.STEADY_MILLIS;
+  private static final long CEILING_AHEAD_MILLIS = 4_000;
+
+  /**
+   * Time after its declaration during which a ceiling does not rise, in milliseconds. The rise
+   * begins before the demand that the ceiling allows from the start is used up, because the
+   * estimate of the demand may be slightly low.
+   */
+  private static final long CEILING_STEADY_MILLIS = 3_800;
 
   /**
    * Time for which a new incarnation holds the tokens that its predecessor wanted, in milliseconds,
@@ -32,11 +38,11 @@
   private static final long INHERITED_MILLIS = HOLD_AHEAD_MILLIS;
 
   /** Rise of a ceiling as a multiple of the mean demand, since demand is bursty. */
-  private static final double CEILING_RATE_FACTOR = 1.5;
+  private static final double CEILING_RATE_FACTOR = 2;
 
   /**
    * Fraction of the inherited tokens that a ceiling allows at first. A third covers the mean demand
-   * during {@link SpendingCeiling#STEADY_MILLIS}; the rest covers a request of typical size.
+   * during {@link #CEILING_AHEAD_MILLIS}; the rest covers a request of typical size.
    */
   private static final double INHERITED_HEADROOM_FRACTION = 0.5;
 
@@ -148,7 +154,8 @@
     double own = demand == null ? 0 : demand.tokensPerMilli(nowMillis);
     double rate = Math.max(own, (double) inherited(nowMillis) / HOLD_AHEAD_MILLIS);
     long base = spent + reserved + waiting + headroom(nowMillis);
-    return new SpendingCeiling(base, rate * CEILING_RATE_FACTOR, storeMillis);
+    return new SpendingCeiling(
+        base, rate * CEILING_RATE_FACTOR, storeMillis, CEILING_STEADY_MILLIS);
   }
 
   private long headroom(long nowMillis) {
--- a/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
@@ -9,21 +9,16 @@
  * without declaring a new one.
  *
  * @param base total tokens that may be consumed at the time of the declaration
- * @param tokensPerMilli rise of the bound since the declaration, which applies after {@link
- *     #STEADY_MILLIS}
+ * @param tokensPerMilli rise of the bound once its steady time has passed
  * @param sinceMillis time of the store in milliseconds, not later than the declaration
+ * @param steadyMillis time after {@code sinceMillis} during which the bound does not rise, in
+ *     milliseconds
  */
-public record SpendingCeiling(long base, double tokensPerMilli, long sinceMillis) {
-
-  /**
-   * Time after the declaration during which a bound does not rise, in milliseconds. A killed
-   * process is replaced within about three seconds, and any rise of its bound until then would be
-   * lost.
-   */
-  public static final long STEADY_MILLIS = 4_000;
+public record SpendingCeiling(
+    long base, double tokensPerMilli, long sinceMillis, long steadyMillis) {
 
   /** Ceiling that allows no tokens. */
-  public static final SpendingCeiling NONE = new SpendingCeiling(0, 0, 0);
+  public static final SpendingCeiling NONE = new SpendingCeiling(0, 0, 0, 0);
 
   /**
    * Returns the bound at a given time.
@@ -32,7 +27,7 @@
    * @return tokens
    */
   public long at(long storeMillis) {
-    long age = storeMillis - sinceMillis;
-    return age < STEADY_MILLIS ? base : base + (long) (tokensPerMilli * age);
+    long risingMillis = Math.max(0, storeMillis - sinceMillis - steadyMillis);
+    return base + (long) (tokensPerMilli * risingMillis);
   }
 }
