Test takeovers under rising ceilings, lagging clocks and many restarts

PrepaidBudgetsTest.countsAllThatKilledDaemonConsumedUnderRisingCeiling spends all that a ceiling allows in an outage of ten seconds; a successor that evaluates the ceiling two seconds too early fails it ('expecting actual: 43264L to be between'). The property over many restarts did not catch that mutant; it guards the order of restarts, late writes and clocks that lag.

--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -225,6 +225,35 @@
     assertThat(served).isLessThanOrEqualTo(100_000L);
   }
 
+  /** Guards against a successor that leaves out what a ceiling allowed while it rose. */
+  @Test
+  void countsAllThatKilledDaemonConsumedUnderRisingCeiling() {
+    PrepaidBudgets killedDaemon = daemon("a", "a.1", 1, 1_000_000);
+    long consumed = 0;
+    for (int i = 0; i < 30; i++) {
+      assertThat(reserve(killedDaemon, 1_000)).isInstanceOf(Outcome.Reserved.class);
+      killedDaemon.settle(ACCOUNT, 1_000, 1_000);
+      consumed += 1_000;
+    }
+    table.isDown = true;
+    for (long end = scheduler.nowMillis() + 10_000; scheduler.nowMillis() < end; ) {
+      var outcome = killedDaemon.reserve(ACCOUNT, 100, TIMEOUT_MILLIS);
+      if (outcome.getNow(new Outcome.Exhausted()) instanceof Outcome.Reserved) {
+        killedDaemon.settle(ACCOUNT, 100, 100);
+        consumed += 100;
+      }
+      scheduler.run(10);
+    }
+    // More than the steady part of the ceiling: the mean request and four seconds of demand.
+    assertThat(consumed).isGreaterThan(36_000);
+    table.isDown = false;
+    killed.add("a.1");
+    final PrepaidBudgets successor = daemon("a", "a.2", 1, 1_000_000);
+    assertThat(reserve(successor, 1_000)).isInstanceOf(Outcome.Reserved.class);
+    AllotmentRows.HolderRow row = table.get("allotment/acme/host.a", AllotmentRows.HolderRow.class);
+    assertThat(row.spent()).isBetween(consumed, consumed + 1_000);
+  }
+
   /** Guards against tokens that a takeover strands because it comes long after the end. */
   @Test
   void countsNothingAsConsumedAfterTheKilledDaemonHadEnded() {
@@ -402,4 +431,72 @@
       assertThat(used[0]).isLessThanOrEqualTo(granted);
     }
   }
+
+  /**
+   * Guards against a successor that counts less as consumed than its predecessor consumed, with
+   * clocks that lag behind the store, late writes, outages, and restarts soon after each other.
+   */
+  @Property(tries = 200, seed = "20261205")
+  void neverSpendsMoreThanGrantedOverManyRestarts(@ForAll long seed) {
+    Random random = new Random(seed);
+    PrepaidBudgetsTest t = new PrepaidBudgetsTest();
+    t.table.randomFaults =
+        () -> random.nextInt(5) == 0 ? FAULTS.get(random.nextInt(FAULTS.size())) : Fault.NONE;
+    final long granted = 200_000L + random.nextInt(1_000_000);
+    int runs = 0;
+    long[] used = new long[2];
+    for (int host = 0; runs < 12; host = (host + 1) % 2) {
+      final int n = host;
+      final long usedBefore = used[n];
+      String incarnation = "h" + host + "." + runs++;
+      PrepaidBudgets d = t.daemon("h" + host, incarnation, 2, t.laggingClock(random));
+      t.scheduler.run(random.nextInt(2_000));
+      d.updateAccounts(accountTerms(granted));
+      long end = t.scheduler.nowMillis() + random.nextInt(15_000);
+      long outageAt = t.scheduler.nowMillis() + random.nextInt(10_000);
+      while (t.scheduler.nowMillis() < end) {
+        t.table.isDown = t.scheduler.nowMillis() >= outageAt;
+        long tokens = 1L + random.nextInt(3_000);
+        var unused =
+            d.reserve(ACCOUNT, tokens, TIMEOUT_MILLIS)
+                .thenAccept(
+                    o -> {
+                      if (o instanceof Outcome.Reserved && !t.killed.contains(incarnation)) {
+                        used[n] += tokens;
+                        t.scheduler.schedule(
+                            random.nextInt(500), () -> d.settle(ACCOUNT, tokens, tokens));
+                      }
+                    });
+        t.scheduler.run(random.nextInt(300));
+      }
+      t.killed.add(incarnation);
+      t.table.isDown = false;
+      // Often less than the steady time of a ceiling, sometimes more.
+      t.scheduler.run(random.nextInt(3) == 0 ? 0 : random.nextInt(6_000));
+      assertThat(used[0] + used[1]).isLessThanOrEqualTo(granted);
+      AllotmentRows.HolderRow row =
+          t.table.get("allotment/acme/host.h" + host, AllotmentRows.HolderRow.class);
+      if (row != null && row.incarnation().equals(incarnation)) {
+        assertThat(row.spent()).isGreaterThanOrEqualTo(usedBefore);
+      }
+    }
+  }
+
+  /** Returns a clock of a process that starts now, with errors in the allowed directions. */
+  private StoreClock laggingClock(Random random) {
+    long lagMillis = random.nextInt(1_000);
+    long knownAtMillis = scheduler.nowMillis() + random.nextInt(1_000);
+    long firstCallAtMost = scheduler.nowMillis() + random.nextInt(1_500);
+    return new StoreClock() {
+      @Override
+      public long millis() {
+        return Math.max(0, scheduler.nowMillis() - lagMillis);
+      }
+
+      @Override
+      public long firstCallMillis() {
+        return scheduler.nowMillis() < knownAtMillis ? Long.MAX_VALUE : firstCallAtMost;
+      }
+    };
+  }
 }
