--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -223,6 +223,8 @@
         Map.of("host", settings.host(), "failure_domain", settings.forward().failureDomain()));
     status.start();
     metrics.start();
+    // Binding the callers' address shows that an earlier process of this host has ended, which the
+    // calls to the store rely on.
     server.start();
     loadTransport.start();
     loadExchange.start();
