Never pass an interim response to a caller

ActiveJ completes an exchange with an interim response (1xx) and drops the final one. A 103 with the identifier and the signature of the upstream was passed on as the response, so the caller got a head without an end and waited; a 102 with Not-Executed was taken for a refusal before its status was compared.

UpstreamResponsesTest on real sockets before the change:

repeatsOnlyWhatMayRunAgain, "own signed interim response, then success", ONCE expected: 502 but was: 103 promisesNotRunOnlyWithProof, same row, RESUMABLE expected: 502 but was: 103

The transport now treats any response below 200 as broken: the request may have run, so 502 for one that may run once and another upstream for the others.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -62,6 +62,10 @@
     return bodyReader;
   }
 
+  /**
+   * Handles the first response. ActiveJ ends the exchange with an interim response (1xx), so the
+   * final one is lost.
+   */
   private void onResponse(
       HttpResponse response,
       UpstreamRequest request,
@@ -71,6 +75,11 @@
       response.takeBodyStream().close();
       return;
     }
+    if (response.getCode() < STATUS_OK) {
+      response.takeBodyStream().close();
+      bodyReader.fail(AttemptOutcome.BROKEN, "interim response, status " + response.getCode());
+      return;
+    }
     List<HeaderField> fields = HeaderFields.endToEnd(response);
     dialect.requestLimit(response.getCode(), fields).ifPresent(sink.listener::onRequestLimit);
     UpstreamDialect.ResponseCheck check =
