Promise nothing for a request that an upstream ran and failed

A repeatable request whose first upstream answered 500 was sent to a second one. When that one refused it, the task took the refusal for the outcome of all attempts, since a complete error response did not mark the request as possibly run, and the caller got 503, which promises that the request was not run.

UpstreamResponsesTest.promisesNothingAfterAnUpstreamFailed before the change:

expected: 502 but was: 503

ForwardTask.onFullResponse now records that the request may have run before it looks for another upstream, as onFailed does for all other outcomes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -277,8 +277,11 @@
     recordAttemptResult("status " + status);
     promptProcessed = true;
     boolean retryable = streamBegun || status >= STATUS_SERVER_ERROR;
-    if (retryable && route.retryPolicy().mayRunAgain() && retry(AttemptOutcome.FAILED)) {
-      return;
+    if (retryable && route.retryPolicy().mayRunAgain()) {
+      mayHaveRun |= AttemptOutcome.FAILED.mayHaveRun();
+      if (retry(AttemptOutcome.FAILED)) {
+        return;
+      }
     }
     if (streamBegun) {
       endUnserved("the resumed stream got status " + status);
