Continue a stream only with what continues it

When a stream broke off, any 200 of the next upstream was taken for its continuation. Blocks of lines that ended with a blank line were passed on as events even if they had no identifier: the text of an error sent with 200, or a whole response head in a body without a length. A 200 without a new event ended the stream as complete, also one of another content type or one that repeated old events and broke off before the position.

A resumed attempt now fails as broken, and another upstream is tried or the connection is closed without the last chunk, if the content type differs from that of the response that the caller got, if an event has no identifier, or if it repeats events and ends without a new one. Events of resumable streams have increasing identifiers, so a real continuation is none of these. An empty 200 that ends with its length or last chunk still completes the stream: all events may have been passed on before it broke off, and nothing tells the last one.

A body that is started after its attempt was cancelled is now closed.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -72,7 +73,7 @@
   private final UpstreamLoad load;
   private final long prefillTokens;
   private final long pendingTokens;
-  private final String resumedAfter;
+  private final Optional<StreamPosition> resumedAfter;
   private final EventFramer framer = new EventFramer(this::onEvent);
   private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream();
   private UpstreamTransport.Exchange exchange;
@@ -81,6 +82,7 @@
   private List<HeaderField> fields = List.of();
   private boolean isPromptProcessed;
   private boolean isAnswered;
+  private boolean hasRepeatedEvents;
   private boolean isPaused;
   private boolean ended;
   private long sentAtMillis;
@@ -92,7 +94,7 @@
       Route route,
       Supplier<Set<String>> traits,
       UpstreamSelector.Choice choice,
-      String resumedAfter) {
+      Optional<StreamPosition> resumedAfter) {
     this.forwarder = forwarder;
     this.owner = owner;
     this.route = route;
@@ -163,6 +165,10 @@
     recordActivity();
     status = headStatus;
     fields = headFields;
+    if (isStream() && resumedAfter.filter(p -> !p.isContinuedBy(headFields)).isPresent()) {
+      exchange.cancel();
+      fail(AttemptOutcome.BROKEN, "another content type in the resumed stream");
+    }
   }
 
   @Override
@@ -192,7 +198,10 @@
   }
 
   private void onEvent(String id, byte[] bytes) {
-    if (ended || isAlreadyDelivered(id)) {
+    if (ended) {
+      return;
+    }
+    if (resumedAfter.isPresent() && !isContinuation(id)) {
       return;
     }
     if (!isAnswered) {
@@ -212,14 +221,18 @@
   }
 
   /**
-   * Returns whether the caller already received an event, so that a resumed stream repeats none.
+   * Returns whether an event of a resumed stream comes after those that the caller has. An event
+   * without an identifier ends the attempt, since the text of an error would look the same.
    */
-  private boolean isAlreadyDelivered(String id) {
-    if (resumedAfter.isEmpty() || id.isEmpty()) {
+  private boolean isContinuation(String id) {
+    if (id.isEmpty()) {
+      exchange.cancel();
+      fail(AttemptOutcome.BROKEN, "an event without an identifier in the resumed stream");
       return false;
     }
-    return id.length() < resumedAfter.length()
-        || (id.length() == resumedAfter.length() && id.compareTo(resumedAfter) <= 0);
+    boolean isRepeated = resumedAfter.orElseThrow().covers(id);
+    hasRepeatedEvents |= isRepeated;
+    return !isRepeated;
   }
 
   @Override
@@ -237,6 +250,10 @@
     } else if (framer.hasPartialEvent()) {
       reportBroken();
       fail(AttemptOutcome.BROKEN, "the stream ended inside an event");
+    } else if (hasRepeatedEvents && !isAnswered) {
+      // It ended before the position from which it was to go on, so its end is not that of the
+      // stream.
+      fail(AttemptOutcome.BROKEN, "the resumed stream had no new event");
     } else {
       finish();
       owner.onStreamBegin(status, fields);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -72,10 +72,9 @@
   private int unsentAttempts;
   private boolean mayHaveRun;
   private boolean promptProcessed;
-  private boolean streamBegun;
   private boolean ended;
   private boolean reserved;
-  private String lastEventId = "";
+  private Optional<StreamPosition> streamPosition = Optional.empty();
   private long eventsDelivered;
   private long firstEventAtMillis;
 
@@ -175,7 +174,7 @@
     }
     // A request whose stream has begun does not crash upstreams.
     UpstreamCrashes.Admission admission =
-        streamBegun
+        streamPosition.isPresent()
             ? new UpstreamCrashes.Admission.Free()
             : forwarder.crashes().admit(this::traits);
     if (admission instanceof UpstreamCrashes.Admission.Refused) {
@@ -204,7 +203,7 @@
 
   /** Ends the request if it is blocked and no upstream has begun to answer it. */
   void endIfBlocked() {
-    if (ended || attempt == null || streamBegun) {
+    if (ended || attempt == null || streamPosition.isPresent()) {
       return;
     }
     if (!attempt.progress().isAnswering() && forwarder.crashes().isBlocked(this::traits)) {
@@ -238,7 +237,7 @@
             account.map(AccountSettings::name).orElse(""),
             remainingMillis(),
             account.map(a -> a.priority().orElse(route.priority())).orElse(route.priority()),
-            lastEventId);
+            streamPosition.map(StreamPosition::lastEventId).orElse(""));
     request
         .prompt()
         .ifPresent(
@@ -249,13 +248,14 @@
                     .load()
                     .prefixCache()
                     .recordPrompt(p, service.cacheCapacityTokens()));
-    attempt = new ForwardAttempt(forwarder, this, route, this::traits, choice.get(), lastEventId);
+    attempt =
+        new ForwardAttempt(forwarder, this, route, this::traits, choice.get(), streamPosition);
     attempt.start(outgoing);
   }
 
   /** Returns how late the first event may be expected, which no longer matters once one came. */
   private long maxFirstEventMillis() {
-    return streamBegun ? Long.MAX_VALUE : route.targetMillis();
+    return streamPosition.isPresent() ? Long.MAX_VALUE : route.targetMillis();
   }
 
   private void endWithoutUpstream() {
@@ -276,14 +276,14 @@
   public void onFullResponse(int status, List<HeaderField> fields, byte[] body) {
     recordAttemptResult("status " + status);
     promptProcessed = true;
-    boolean retryable = streamBegun || status >= STATUS_SERVER_ERROR;
+    boolean retryable = streamPosition.isPresent() || status >= STATUS_SERVER_ERROR;
     if (retryable && route.retryPolicy().mayRunAgain()) {
       mayHaveRun |= AttemptOutcome.FAILED.mayHaveRun();
       if (retry(AttemptOutcome.FAILED)) {
         return;
       }
     }
-    if (streamBegun) {
+    if (streamPosition.isPresent()) {
       endUnserved("the resumed stream got status " + status);
       return;
     }
@@ -295,8 +295,8 @@
   public void onStreamBegin(int status, List<HeaderField> fields) {
     promptProcessed = true;
     releaseSuspect();
-    if (!streamBegun) {
-      streamBegun = true;
+    if (streamPosition.isEmpty()) {
+      streamPosition = Optional.of(StreamPosition.start(fields));
       firstEventAtMillis = forwarder.scheduler().nowMillis();
       caller.begin(status, fields);
     }
@@ -304,9 +304,7 @@
 
   @Override
   public boolean onEvent(String id, byte[] bytes) {
-    if (!id.isEmpty()) {
-      lastEventId = id;
-    }
+    streamPosition = streamPosition.map(p -> p.after(id));
     eventsDelivered++;
     return caller.write(bytes);
   }
@@ -331,7 +329,7 @@
       unsentAttempts++;
     }
     mayHaveRun |= outcome.mayHaveRun();
-    if (mayBeCause && !streamBegun) {
+    if (mayBeCause && streamPosition.isEmpty()) {
       forwarder
           .scheduler()
           .schedule(CRASH_CHECK_MILLIS, () -> retryUnlessCrashed(upstream, outcome, reason));
@@ -384,7 +382,7 @@
     if (ended) {
       return;
     }
-    if (streamBegun) {
+    if (streamPosition.isPresent()) {
       caller.abort();
       finish("aborted: " + refusalIfNotRun.detail(), false);
     } else if (mayHaveRun) {
@@ -412,7 +410,7 @@
     }
     boolean running = attempt != null;
     cancelAttempt("time is over");
-    if (streamBegun) {
+    if (streamPosition.isPresent()) {
       caller.abort();
       finish("aborted: time is over", false);
     } else if (running || mayHaveRun) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
@@ -37,6 +37,9 @@
 
   void start(ChannelSupplier<ByteBuf> source) {
     body = source;
+    if (ended) {
+      body.close();
+    }
     read();
   }
 
