Don't resume a stream whose events had no identifier

A stream that broke off before an event with an identifier was passed on was requested from the next upstream without Last-Event-Id, so that it began again, and the caller got its first events twice.

ResumedStreamsTest.doesNotResumeStreamWithoutIdentifiers before the change:

expected: "data: x" but was: "data: x data: x data: x"

Without an identifier there is no position to go on from, so such a stream now ends without its last chunk.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -346,6 +346,9 @@
   }
 
   private boolean retry(AttemptOutcome outcome) {
+    if (streamPosition.filter(p -> !p.isResumable()).isPresent()) {
+      return false;
+    }
     AttemptPolicy.State state =
         new AttemptPolicy.State(
             route.retryPolicy(),
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamPosition.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamPosition.java
@@ -23,6 +23,11 @@
     return eventId.isEmpty() ? this : new StreamPosition(eventId, contentType);
   }
 
+  /** Returns whether another upstream can be asked for the events after this position. */
+  boolean isResumable() {
+    return !lastEventId.isEmpty();
+  }
+
   /** Returns whether a response with these header fields can continue the stream. */
   boolean isContinuedBy(List<HeaderField> fields) {
     return contentType.equalsIgnoreCase(contentTypeOf(fields));
