Don't forward the Expect field of callers

The server answers Expect: 100-continue itself and reads the whole body, but passed the field on. An upstream that honours it sends an interim response, which ends the exchange as broken: 502 for a request that the upstream then runs.

UpstreamResponsesTest.doesNotAskForInterimResponses before the change:

Expecting actual: "POST /a/x HTTP/1.1 ... Expect: 100-continue ..." not to contain (ignoring case): "100-continue"

The field concerns one connection only and is now dropped with the others.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HeaderFields.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HeaderFields.java
@@ -29,6 +29,8 @@
           "trailer",
           "transfer-encoding",
           "upgrade",
+          // The body is complete when it is forwarded, so no upstream is asked whether it wants it.
+          "expect",
           "content-length",
           "host");
 
