Give each HTTP call its own connection

The clients of the table service, the object store, the host list and the engines' calls kept connections. ActiveJ's client keeps bytes that it read after a complete response and takes them for the response to the next call on that connection. Responses of these services carry no identifier. So a response that was sent twice counted as the outcome of the next call: a transaction as committed that was not, and each later call on the connection got the response of the one before it.

HttpTableServiceTest.repeatedResponseIsNotTheOutcomeOfTheNextWrite before the change:

Expecting actual: Committed[versions=[7]] to be an instance of: WriteResult.NotApplied

AsyncHttpClient no longer reuses connections, so the option, its two timeouts and the second client of the daemon are gone. The cost is one connection for each call of the product's own daemon; the platform's store and upstreams were called this way before. An extra response that arrives while a kept connection is idle was discarded before, one that arrives with the first or after the next call was sent can't be told apart, so a check on the kept connection would not do.

Tests change only where they construct clients.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/engine/HttpEngineClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/engine/HttpEngineClient.java
@@ -41,20 +41,17 @@
   private static final Map<HttpHeader, String> JSON =
       Map.of(HttpHeaders.CONTENT_TYPE, "application/json");
 
-  private final AsyncHttpClient streams;
   private final AsyncHttpClient calls;
   private final long timeoutMillis;
 
   /**
    * Creates a client.
    *
-   * @param streams HTTP client that does not reuse connections, so that each stream can be aborted
-   * @param calls HTTP client for complete calls
+   * @param calls HTTP client
    * @param timeoutMillis time to wait for the complete response to a call, in milliseconds
    * @throws NullPointerException if an argument is null
    */
-  public HttpEngineClient(AsyncHttpClient streams, AsyncHttpClient calls, long timeoutMillis) {
-    this.streams = Objects.requireNonNull(streams, "streams");
+  public HttpEngineClient(AsyncHttpClient calls, long timeoutMillis) {
     this.calls = Objects.requireNonNull(calls, "calls");
     this.timeoutMillis = timeoutMillis;
   }
@@ -73,8 +70,7 @@
             PRIORITY,
             Integer.toString(request.priority()));
     AsyncHttpClient.Exchange exchange =
-        streams.open(
-            HttpMethod.POST, url(upstream, "/v1/chat/completions"), headers, request.body());
+        calls.open(HttpMethod.POST, url(upstream, "/v1/chat/completions"), headers, request.body());
     return startStream(exchange, upstream, request.streamId(), listener, false);
   }
 
@@ -82,7 +78,7 @@
   public EngineCall resume(
       Upstream upstream, String streamId, long offset, EngineListener listener) {
     String url = url(upstream, "/v1/streams/" + encode(streamId) + "?offset=" + offset);
-    AsyncHttpClient.Exchange exchange = streams.open(HttpMethod.GET, url, Map.of(), null);
+    AsyncHttpClient.Exchange exchange = calls.open(HttpMethod.GET, url, Map.of(), null);
     return startStream(exchange, upstream, streamId, listener, true);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -174,8 +174,7 @@
             scheduler,
             fleet,
             new HttpUpstreamTransport(
-                new AsyncHttpClient(reactor, false, CONNECT_TIMEOUT, traffic),
-                ports.upstreamDialect()),
+                new AsyncHttpClient(reactor, CONNECT_TIMEOUT, traffic), ports.upstreamDialect()),
             budgets,
             loadExchange,
             crashes,
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -30,7 +30,7 @@
   /**
    * Creates a transport.
    *
-   * @param calls HTTP client that does not reuse connections
+   * @param calls HTTP client
    * @param dialect message format of the upstreams
    * @throws NullPointerException if an argument is null
    */
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -23,25 +23,17 @@
 /**
  * HTTP client for complete calls with a timeout and for streamed responses. Futures complete on the
  * event loop and never exceptionally. Used only on the thread of the event loop.
+ *
+ * <p>Each call has its own connection. Most servers don't identify the call that a response belongs
+ * to, so on a kept connection a response that is sent twice would be taken for that of the next
+ * call. Also, the outcome of a call is unknown if the server closes an idle connection at the
+ * moment of its reuse.
  */
 public final class AsyncHttpClient {
 
   /** Default timeout for opening a connection. */
   public static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-  /**
-   * Idle time after which a connection is no longer reused. It is short, because the outcome of a
-   * call is unknown if the server closes an idle connection at the moment of its reuse.
-   */
-  private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(2);
-
-  /**
-   * Timeout of calls over reused connections, which can't be closed one by one. Streams use their
-   * own connections without this timeout, because ActiveJ measures it from the start of the
-   * request.
-   */
-  private static final Duration REUSED_CONNECTION_TIMEOUT = Duration.ofSeconds(30);
-
   private static final MemSize MAX_RESPONSE_SIZE = MemSize.megabytes(16);
 
   private final NioReactor reactor;
@@ -52,54 +44,45 @@
    * Creates a client.
    *
    * @param reactor the event loop
-   * @param reuseConnections whether connections are kept for further calls
    * @throws NullPointerException if the event loop is null
    */
-  public AsyncHttpClient(NioReactor reactor, boolean reuseConnections) {
-    this(reactor, reuseConnections, CONNECT_TIMEOUT);
+  public AsyncHttpClient(NioReactor reactor) {
+    this(reactor, CONNECT_TIMEOUT);
   }
 
   /**
    * Creates a client with its own connect timeout.
    *
    * @param reactor the event loop
-   * @param reuseConnections whether connections are kept for further calls
    * @param connectTimeout timeout for opening a connection
    * @throws NullPointerException if an argument is null
    */
-  public AsyncHttpClient(NioReactor reactor, boolean reuseConnections, Duration connectTimeout) {
-    this(reactor, reuseConnections, connectTimeout, TrafficListener.NONE);
+  public AsyncHttpClient(NioReactor reactor, Duration connectTimeout) {
+    this(reactor, connectTimeout, TrafficListener.NONE);
   }
 
   /**
    * Creates a client whose traffic is counted.
    *
    * @param reactor the event loop
-   * @param reuseConnections whether connections are kept for further calls
    * @param connectTimeout timeout for opening a connection
    * @param traffic receives the number of bytes sent and received
    * @throws NullPointerException if an argument is null
    */
-  public AsyncHttpClient(
-      NioReactor reactor,
-      boolean reuseConnections,
-      Duration connectTimeout,
-      TrafficListener traffic) {
+  public AsyncHttpClient(NioReactor reactor, Duration connectTimeout, TrafficListener traffic) {
     this.reactor = Objects.requireNonNull(reactor, "reactor");
     this.tracker = new ConnectionTracker(Objects.requireNonNull(traffic, "traffic"));
-    HttpClient.Builder builder =
+    this.client =
         HttpClient.builder(reactor, newDnsClient(reactor))
             .withConnectTimeout(connectTimeout)
             .withMaxBodySize(MAX_RESPONSE_SIZE)
-            .withReadWriteTimeout(reuseConnections ? REUSED_CONNECTION_TIMEOUT : Duration.ZERO)
+            // ActiveJ measures this timeout from the start of the request, also for streams.
+            .withReadWriteTimeout(Duration.ZERO)
             // ActiveJ 6.0-rc2 confuses the two inspectors of a client, so both are set.
             .withSocketInspector(tracker.socketInspector())
             .withSocketSslInspector(tracker.socketInspector())
-            .withInspector(tracker.clientInspector());
-    this.client =
-        (reuseConnections
-                ? builder.withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
-                : builder.withNoKeepAlive())
+            .withInspector(tracker.clientInspector())
+            .withNoKeepAlive()
             .build();
   }
 
@@ -206,7 +189,7 @@
       return response;
     }
 
-    /** Closes the connection that was opened for this request; a reused connection stays open. */
+    /** Closes the connection of this request. */
     public void abort() {
       state.abort();
     }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -44,7 +44,7 @@
     private long bodyBytes;
     private TcpSocket socket;
 
-    /** Tells whether bytes of the request may have been sent, over a new or a reused connection. */
+    /** Tells whether bytes of the request may have been sent. */
     boolean isConnected() {
       return !connecting;
     }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
@@ -84,10 +84,9 @@
     this.peerServer.start();
     this.peers = new GrpcPeerTransport(credentials, loop);
     final DaemonMetrics metrics = new DaemonMetrics();
-    AsyncHttpClient shared = new AsyncHttpClient(loop, true);
-    AsyncHttpClient single = new AsyncHttpClient(loop, false);
+    AsyncHttpClient calls = new AsyncHttpClient(loop);
     HttpObjectStore objects =
-        new HttpObjectStore(shared, settings.platform().objects(), PLATFORM_TIMEOUT_MILLIS);
+        new HttpObjectStore(calls, settings.platform().objects(), PLATFORM_TIMEOUT_MILLIS);
     this.events = new EventLog(scheduler, objects, incarnation);
     SecureRandom random = new SecureRandom();
     this.node =
@@ -96,15 +95,15 @@
             new NodeDependencies(
                 scheduler,
                 new HttpTableService(
-                    shared,
+                    calls,
                     settings.platform().table(),
                     PLATFORM_TIMEOUT_MILLIS,
                     metrics::countTableCall),
                 objects,
-                new HttpHostList(shared, settings.platform().hosts(), PLATFORM_TIMEOUT_MILLIS),
+                new HttpHostList(calls, settings.platform().hosts(), PLATFORM_TIMEOUT_MILLIS),
                 peers,
-                new HttpEngineClient(single, shared, ENGINE_TIMEOUT_MILLIS),
-                new HttpPlainServiceClient(single),
+                new HttpEngineClient(calls, ENGINE_TIMEOUT_MILLIS),
+                new HttpPlainServiceClient(calls),
                 events,
                 random::nextLong));
     metrics.register("in_progress", () -> node.requests().inProgress());
--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
@@ -23,8 +23,7 @@
   /**
    * Creates a client.
    *
-   * @param calls HTTP client that does not reuse connections, so that a service that closes an idle
-   *     connection does not cause an unknown outcome
+   * @param calls HTTP client
    * @throws NullPointerException if the argument is null
    */
   public HttpPlainServiceClient(AsyncHttpClient calls) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/engine/HttpEngineClientTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/engine/HttpEngineClientTest.java
@@ -35,12 +35,7 @@
 
   private final TestLoop loop = new TestLoop();
   private final HttpEngineClient client =
-      loop.get(
-          () ->
-              new HttpEngineClient(
-                  new AsyncHttpClient(loop.eventloop(), false),
-                  new AsyncHttpClient(loop.eventloop(), true),
-                  500));
+      loop.get(() -> new HttpEngineClient(new AsyncHttpClient(loop.eventloop()), 500));
   private final BlockingQueue<Object> received = new LinkedBlockingQueue<>();
   private final EngineListener listener =
       new EngineListener() {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -213,7 +213,7 @@
                   new Fleet(),
                   new HttpUpstreamTransport(
                       new AsyncHttpClient(
-                          loop.eventloop(), false, Duration.ofMillis(500), upstreamTraffic),
+                          loop.eventloop(), Duration.ofMillis(500), upstreamTraffic),
                       dialect),
                   budgets,
                   new LoadExchange(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -36,8 +36,7 @@
       loop.get(
           () ->
               new HttpUpstreamTransport(
-                  new AsyncHttpClient(loop.eventloop(), false, Duration.ofMillis(300)),
-                  new Dialect()));
+                  new AsyncHttpClient(loop.eventloop(), Duration.ofMillis(300)), new Dialect()));
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
   private static final class Dialect implements UpstreamDialect {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClientTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClientTest.java
@@ -44,7 +44,7 @@
               false,
               false);
       HttpPlainServiceClient client =
-          loop.get(() -> new HttpPlainServiceClient(new AsyncHttpClient(loop.eventloop(), false)));
+          loop.get(() -> new HttpPlainServiceClient(new AsyncHttpClient(loop.eventloop())));
       Call call = new Call("sign", "key", "application/json", new byte[0], 1_000);
       assertThat(loop.await(() -> client.call(u, call)).getClass().getSimpleName())
           .isEqualTo(outcome);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpTableServiceTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpTableServiceTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.ReadResult;
 import org.hibiscusreel.coordination.port.Row;
@@ -36,7 +37,7 @@
     return loop.get(
         () ->
             new HttpTableService(
-                new AsyncHttpClient(loop.eventloop(), true),
+                new AsyncHttpClient(loop.eventloop()),
                 "http://" + address,
                 TIMEOUT_MILLIS,
                 calls::add));
@@ -94,6 +95,31 @@
     }
   }
 
+  /**
+   * Guards against a write that counts as committed because the response of an earlier one arrived
+   * twice: responses carry no identifier.
+   */
+  @Test
+  void repeatedResponseIsNotTheOutcomeOfTheNextWrite() throws Exception {
+    String committed = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"versions\":[7]}";
+    AtomicInteger connections = new AtomicInteger();
+    RawServer.Handler handler =
+        (line, socket, out) -> {
+          if (connections.incrementAndGet() == 1) {
+            out.write((committed + committed).getBytes(StandardCharsets.UTF_8));
+            socket.getInputStream().skip(Long.MAX_VALUE);
+          } else {
+            RawServer.respond("503 Service Unavailable", "{}").handle(line, socket, out);
+          }
+        };
+    try (RawServer s = new RawServer(handler)) {
+      HttpTableService c = client(s.address());
+      List<Mutation> write = List.of(Mutation.insert("a", "{}"));
+      assertThat(loop.await(() -> c.transact(write))).isInstanceOf(WriteResult.Committed.class);
+      assertThat(loop.await(() -> c.transact(write))).isInstanceOf(WriteResult.NotApplied.class);
+    }
+  }
+
   @Test
   void brokenConnectionLeavesTheOutcomeUnknown() throws Exception {
     try (RawServer s = new RawServer((line, socket, out) -> socket.close())) {
