Keep reading a page of the store in which one value can't be decoded

A full read or feed failed as a whole if one row had a value that was no base64, so a single row of another writer in the table of upstreams stopped the follower for ever: a fresh daemon never became ready, a running one knew no change of any upstream any more, and callers got 503 or errors of upstreams that had left.

The cause is that StoreRows threw for the value of one row. It now decodes such a value to the empty text, which no reader of a table accepts, so the row is there but means nothing, and the others of the page hold.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
@@ -14,7 +14,8 @@
    * A row that was written or deleted.
    *
    * @param key key of the row
-   * @param value value of the row, or empty if it was deleted
+   * @param value value of the row, the empty text if it can't be decoded, or empty if it was
+   *     deleted
    */
   record Change(String key, Optional<String> value) {}
 
