Turn each row of the store into a value or the reason why it is unusable

A row of another writer in the table of upstreams could name an upstream that can't be used: an address without a port, with port 0 or 70000, a host name, a path or a line end in the address, slots or born beyond their range, text or a fraction for a number, or an identity with a line end, which is sent in the header field Expect-Instance. Callers' requests were sent with a changed path or with another writer's header field, or met an exception in place of an attempt. Tests through the real follower and client, before:

OddRowsTest.usesAllUpstreamsExceptOnesWithOddRows (33 cases) Expecting actual: ["i-1", "i-2", "i-3"] to contain exactly (and in same order): ["i-1", "i-3"] but some elements were not expected: ["i-2"]

OddRowsTest.usesNoUpstreamWhoseIdentityCannotBeSentInHeaderField Expecting actual: ["i-1", "i-2\r\nTenant: other"] to contain exactly (and in same order): ["i-1"]

The fields were converted with asText, asInt and asLong, which wrap, saturate or make up a value. RowValue is now the one place that parses the text of a row: the result is a value, absent or unusable with a reason of bounded length, and no parser's exception leaves it.

An odd row in place of a good one was treated like a missing row, so right after an outage of the store its upstream stayed in use for the grace period of 1.8 s. With that treatment the new test gives

FleetFollowerTest.dropsUpstreamWhoseRowIsOddAfterAnOutageAtOnce Expecting empty but was: ["a", "b"]

An unusable row is there, so it is not awaited and its upstream is dropped at once; a good row takes it back. The warning with a stack trace for each read of an odd row is replaced by one line until the value changes (upstream_unusable, configuration_unusable).

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -46,14 +46,14 @@
    *
    * @param configurationTable name of the table with the configuration
    * @param upstreamTable name of the table with the upstreams
-   * @param configuration parses a configuration; empty if the row holds none or it can't be parsed
-   * @param upstream parses an upstream; empty if the row was deleted or holds no valid upstream
+   * @param configuration parses a configuration; absent for the other rows of the table
+   * @param upstream parses an upstream
    */
   public record RowFormat(
       String configurationTable,
       String upstreamTable,
-      Function<Change, Optional<ForwardingTable>> configuration,
-      Function<Change, Optional<UpstreamEntry>> upstream) {}
+      Function<Change, RowValue<ForwardingTable>> configuration,
+      Function<Change, RowValue<UpstreamEntry>> upstream) {}
 
   /**
    * Row of one host.
@@ -97,6 +97,8 @@
   private final Listener listener;
   private final UpstreamCatalog upstreams = new UpstreamCatalog();
   private final ConfigurationLag lag = new ConfigurationLag();
+  private final UnusableRows unusableConfigurations;
+  private final UnusableRows unusableUpstreams;
   private final FeedFollower configurations;
   private final FeedFollower upstreamRows;
   private ForwardingTable current;
@@ -133,6 +135,8 @@
     this.rows = Objects.requireNonNull(rows, "rows");
     this.log = Objects.requireNonNull(log, "log");
     this.listener = Objects.requireNonNull(listener, "listener");
+    this.unusableConfigurations = new UnusableRows(log, "configuration_unusable", "row");
+    this.unusableUpstreams = new UnusableRows(log, "upstream_unusable", "upstream");
     this.configurations =
         new FeedFollower(
             feed, rows.configurationTable(), scheduler, log, new ConfigurationListener());
@@ -257,11 +261,15 @@
   /** Applies the last valid one of several versions. */
   private void applyNewest(List<Change> changes) {
     for (int i = changes.size() - 1; i >= 0; i--) {
-      Optional<ForwardingTable> read = rows.configuration().apply(changes.get(i));
-      if (read.isPresent()) {
-        applyConfiguration(read.get());
+      RowValue<ForwardingTable> read = rows.configuration().apply(changes.get(i));
+      if (read instanceof RowValue.Present<ForwardingTable> p) {
+        unusableConfigurations.onUsable(changes.get(i).key());
+        applyConfiguration(p.value());
         return;
       }
+      if (read instanceof RowValue.Unusable<ForwardingTable> u) {
+        unusableConfigurations.onUnusable(changes.get(i), u.reason());
+      }
     }
   }
 
@@ -303,11 +311,22 @@
     @Override
     public void onFullRead(List<Change> all) {
       List<UpstreamEntry> entries = new ArrayList<>();
-      all.forEach(c -> rows.upstream().apply(c).ifPresent(entries::add));
-      List<String> removed = upstreams.replaceAll(entries, scheduler.nowMillis());
+      List<String> removed = new ArrayList<>();
+      unusableUpstreams.retain(all.stream().map(Change::key).toList());
+      for (Change c : all) {
+        RowValue<UpstreamEntry> value = rows.upstream().apply(c);
+        if (value instanceof RowValue.Present<UpstreamEntry> p) {
+          unusableUpstreams.onUsable(c.key());
+          entries.add(p.value());
+        } else if (value instanceof RowValue.Unusable<UpstreamEntry> u) {
+          drop(c, u.reason(), removed);
+        }
+      }
+      List<String> missing = upstreams.replaceAll(entries, scheduler.nowMillis());
       upstreamsKnown = true;
       log.record("upstreams", Map.of("known", upstreams.size()));
-      removed.forEach(id -> log.record("upstream_gone", Map.of("upstream", id)));
+      missing.forEach(id -> log.record("upstream_gone", Map.of("upstream", id)));
+      removed.addAll(missing);
       listener.onUpstreamsRemoved(removed);
     }
 
@@ -315,9 +334,14 @@
     public void onChanges(List<Change> changes) {
       List<String> removed = new ArrayList<>();
       for (Change c : changes) {
-        Optional<UpstreamEntry> entry = rows.upstream().apply(c);
-        if (entry.isPresent()) {
-          put(entry.get());
+        RowValue<UpstreamEntry> value = rows.upstream().apply(c);
+        if (value instanceof RowValue.Unusable<UpstreamEntry> u) {
+          drop(c, u.reason(), removed);
+          continue;
+        }
+        unusableUpstreams.onUsable(c.key());
+        if (value instanceof RowValue.Present<UpstreamEntry> p) {
+          put(p.value());
         } else if (upstreams.remove(c.key(), scheduler.nowMillis())) {
           removed.add(c.key());
           log.record("upstream_gone", Map.of("upstream", c.key()));
@@ -330,6 +354,15 @@
       listener.onUpstreamsRemoved(removed);
     }
 
+    /** Stops using the upstream of an odd row at once: the row is there, so none is awaited. */
+    private void drop(Change c, String reason, List<String> removed) {
+      unusableUpstreams.onUnusable(c, reason);
+      if (upstreams.drop(c.key())) {
+        removed.add(c.key());
+        log.record("upstream_gone", Map.of("upstream", c.key()));
+      }
+    }
+
     private void put(UpstreamEntry e) {
       if (upstreams.put(e)) {
         log.record(
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -37,7 +38,7 @@
           new FleetFollower.RowFormat(
               "configurations",
               "upstreams",
-              c -> c.value().map(v -> configuration(Long.parseLong(v))),
+              c -> RowValue.parse(c.value(), v -> configuration(Long.parseLong(v))),
               FleetFollowerTest::upstream),
           (e, f) -> log.add(e + " " + f.get("table")),
           new FleetFollower.Listener() {
@@ -62,11 +63,15 @@
         version, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
   }
 
-  private static Optional<UpstreamEntry> upstream(ChangeFeed.Change change) {
-    return change
-        .value()
-        .filter(v -> !v.equals("invalid"))
-        .map(v -> new UpstreamEntry(change.key(), "s", v, "d", v.equals("leaving"), 1, 0));
+  private static RowValue<UpstreamEntry> upstream(ChangeFeed.Change change) {
+    return RowValue.parse(change.value(), v -> entry(change.key(), v));
+  }
+
+  private static UpstreamEntry entry(String id, String text) throws IOException {
+    if (text.equals("invalid")) {
+      throw new IOException("invalid");
+    }
+    return new UpstreamEntry(id, "s", text, "d", text.equals("leaving"), 1, 0);
   }
 
   /**
@@ -343,6 +348,19 @@
     return Collections.nCopies(count, new ChangeFeed.Result.Failed("down"));
   }
 
+  /** Guards against using an odd row for the grace period that is meant for missing rows. */
+  @Test
+  void dropsUpstreamWhoseRowIsOddAfterAnOutageAtOnce() {
+    start();
+    feed.polls.get("upstreams").add(new ChangeFeed.Result.Failed("down"));
+    feed.all.get("upstreams").add(changes(11, "a", "invalid", "b", "x"));
+    feed.polls.get("upstreams").add(changes(12, "b", "invalid"));
+    scheduler.run(1_300);
+    assertThat(usable()).isEmpty();
+    assertThat(removedUpstreams).containsExactly("a", "b");
+    assertThat(log).filteredOn(line -> line.startsWith("upstream_unusable")).hasSize(2);
+  }
+
   /** Guards against losing all upstreams whose entries expired while the store was unavailable. */
   @Test
   void keepsExpiredUpstreamsBrieflyAfterTheStoreIsAvailableAgain() {
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -72,6 +72,17 @@
     return true;
   }
 
+  /**
+   * Removes an entry without a grace period.
+   *
+   * @param id identity of the upstream
+   * @return true if the entry was removed, false if it is unknown
+   */
+  public boolean drop(String id) {
+    graceEndMillisById.remove(id);
+    return entries.remove(id) != null;
+  }
+
   /**
    * Replaces all entries; upstreams that are missing from the list are removed as by {@link
    * #remove}.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/JsonBodies.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/JsonBodies.java
@@ -57,4 +57,65 @@
     }
     return node.get(field);
   }
+
+  /**
+   * Returns a required text.
+   *
+   * @param node an object
+   * @param field name of the field
+   * @return the text
+   * @throws IOException if the field is absent or no text
+   */
+  public static String requireText(JsonNode node, String field) throws IOException {
+    JsonNode value = require(node, field);
+    if (!value.isTextual()) {
+      throw new IOException("the field " + field + " is no text");
+    }
+    return value.textValue();
+  }
+
+  /**
+   * Returns a number without its fraction.
+   *
+   * @param node an object
+   * @param field name of the field
+   * @param absent result if the field is absent or null
+   * @param max largest value
+   * @return the number, or {@code absent}
+   * @throws IOException if the field is no number from 0 to {@code max}
+   */
+  public static long number(JsonNode node, String field, long absent, long max) throws IOException {
+    if (!node.hasNonNull(field)) {
+      return absent;
+    }
+    JsonNode value = node.get(field);
+    // The conversion to long wraps or saturates outside of its range.
+    if (!value.isNumber() || !value.canConvertToLong()) {
+      throw new IOException("the field " + field + " is no number from 0 to " + max);
+    }
+    long result = value.longValue();
+    if (value.doubleValue() < 0 || result < 0 || result > max) {
+      throw new IOException("the field " + field + " is no number from 0 to " + max);
+    }
+    return result;
+  }
+
+  /**
+   * Returns a whole number.
+   *
+   * @param node an object
+   * @param field name of the field
+   * @param absent result if the field is absent or null
+   * @param max largest value
+   * @return the number, or {@code absent}
+   * @throws IOException if the field is no whole number from 0 to {@code max}
+   */
+  public static long wholeNumber(JsonNode node, String field, long absent, long max)
+      throws IOException {
+    long result = number(node, field, absent, max);
+    if (node.hasNonNull(field) && !node.get(field).canConvertToExactIntegral()) {
+      throw new IOException("the field " + field + " is no whole number");
+    }
+    return result;
+  }
 }
