Bound the numbers in callers' header fields

Token-Usage and Deadline-Ms were read with parseDouble and a cast. A negative reservation succeeds and raises the free tokens of the account, so its requests could spend more than is prepaid. An unreadable size was read as 0 and the request forwarded with no reservation. A deadline of 1e999 overflowed into the past, and the caller got 504 at once.

ForwarderTest.refusesPromptOfHugeSizeAndKeepsTheBudget Expecting empty but was: [...ForwardHarness$Sent@]

ForwarderTest.servesCallerWithHugeDeadline expected: null but was: Refusal[kind=TIMED_OUT, retryAfterMillis=0, detail=time is over]

PromptShape now refuses negative numbers and lowers each to 10^12, so that no sum of them overflows, and a reservation of a negative number throws. A caller that sends a larger number gets 402 as before. Server-Limit was already read strictly (RequestLimit). Retry-After of an upstream is passed on and not read here.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -125,6 +125,9 @@
     if (refusal.isEmpty()) {
       refusal = checkRouteAndKey(table.get(), route, account).map(this::toTrueRefusal);
     }
+    if (refusal.isEmpty()) {
+      refusal = request.malformed().map(m -> new Refusal(Refusal.Kind.MALFORMED, 0, m));
+    }
     if (refusal.isPresent()) {
       refuse(request, exchange, refusal.get(), table);
       return NO_OP_HANDLE;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.junit.jupiter.api.Test;
@@ -379,4 +380,63 @@
         .containsKeys("upstreams_age_ms", "deadline_ms", "took_ms");
     assertThat((List<?>) h.logLines.get(0).get("attempts")).hasSize(2);
   }
+
+  /**
+   * Guards against a negative reservation by two numbers whose sum overflows: the account could
+   * spend more than is prepaid.
+   */
+  @Test
+  void refusesPromptOfHugeSizeAndKeepsTheBudget() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    h.serve(ForwardHarness.prompt(Long.MAX_VALUE, Long.MAX_VALUE));
+    assertThat(h.sent).isEmpty();
+    assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.BUDGET_EXHAUSTED);
+    h.serve(ForwardHarness.prompt(ForwardHarness.PREPAID_TOKENS, 1));
+    assertThat(h.sent).isEmpty();
+  }
+
+  /** Guards against refusing at once a caller that waits without end. */
+  @Test
+  void servesCallerWithHugeDeadline() {
+    ForwardHarness h = plain(RetryPolicy.REPEATABLE, 2);
+    h.scheduler.run(10);
+    CallerRequest r = ForwardHarness.plain("/a/x", "key");
+    h.serve(
+        new CallerRequest(
+            r.id(),
+            r.method(),
+            r.host(),
+            r.target(),
+            r.path(),
+            r.key(),
+            Optional.of(Long.MAX_VALUE),
+            r.prompt(),
+            r.fields(),
+            r.body()));
+    assertThat(h.refusal).isNull();
+    assertThat(h.sent).hasSize(1);
+  }
+
+  /** Guards against sending a request whose size is unknown, which no reservation covers. */
+  @Test
+  void refusesMalformedRequest() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    CallerRequest r = ForwardHarness.plain("/a/x", "key");
+    h.serve(
+        new CallerRequest(
+            r.id(),
+            r.method(),
+            r.host(),
+            r.target(),
+            r.path(),
+            r.key(),
+            r.deadlineMillis(),
+            r.prompt(),
+            r.fields(),
+            r.body(),
+            Optional.of("no size")));
+    assertThat(h.callerEvents).containsExactly("MALFORMED");
+    assertThat(h.outcome()).isEqualTo("MALFORMED");
+    assertThat(h.sent).isEmpty();
+  }
 }
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -57,8 +57,12 @@
    * @param nowMillis monotonic time in milliseconds
    * @param storeMillis lower bound of the store's time in milliseconds
    * @return false if the allotment or the ceiling is too low
+   * @throws IllegalArgumentException if the number of tokens is negative
    */
   public boolean tryReserve(long tokens, long nowMillis, long storeMillis) {
+    if (tokens < 0) {
+      throw new IllegalArgumentException("a reservation of " + tokens + " tokens");
+    }
     if (tokens > free() || tokens > allowedByCeiling(storeMillis)) {
       return false;
     }
--- a/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/PromptShape.java
@@ -11,19 +11,45 @@
  */
 public record PromptShape(long promptTokens, long maxOutputTokens, List<Part> parts) {
 
+  /** Largest number of tokens that is told apart, so that sums of several can't overflow. */
+  public static final long MAX_TOKENS = 1_000_000_000_000L;
+
   /**
    * Part of a prompt, which several prompts may share as part of their prefix.
    *
    * @param id identifier of its content
    * @param tokens length in tokens
    */
-  public record Part(String id, long tokens) {}
+  public record Part(String id, long tokens) {
 
-  /** Copies the list. */
+    /**
+     * Lowers the length to {@link #MAX_TOKENS}.
+     *
+     * @throws IllegalArgumentException if the length is negative
+     */
+    public Part {
+      tokens = limit(tokens);
+    }
+  }
+
+  /**
+   * Copies the list and lowers the numbers to {@link #MAX_TOKENS}.
+   *
+   * @throws IllegalArgumentException if a number is negative
+   */
   public PromptShape {
+    promptTokens = limit(promptTokens);
+    maxOutputTokens = limit(maxOutputTokens);
     parts = List.copyOf(parts);
   }
 
+  private static long limit(long tokens) {
+    if (tokens < 0) {
+      throw new IllegalArgumentException("a negative number of tokens: " + tokens);
+    }
+    return Math.min(MAX_TOKENS, tokens);
+  }
+
   /**
    * Returns the largest number of tokens that the request can consume.
    *
