Draw no prepaid tokens from rows that another writer has spoilt

The version of a spoilt row of an account was taken over before its content was parsed. The parser's exception was lost in the callback, and the next transaction named the new version with the old totals, or with 0 for a field that was missing, null, text or a fraction. It overwrote the spoilt row and drew tokens that other daemons already held. A negative or too small total did the same. With 300 of 1,000 tokens left, before:

PrepaidBudgetsTest.drawsNothingWhileTheRowOfTheAccountIsSpoilt [] : Expecting actual: 750L to be less than or equal to: 300L {"drawn":0} : Expecting actual: 1000L to be less than or equal to: 300L {"drawn":-1000000,...} : Expecting actual: 5000L to be less than or equal to: 300L

PrepaidBudgetsTest.takesNothingOverFromSpoiltRowOfTheHost Expecting ArrayList: ["allotment"] to contain: ["allotment_unusable"]

PrepaidBudgetsTest.pausesWhileRowIsGone Expecting actual: 5001 to be less than: 20 (writes in 10 s)

Callers of the account were served beyond its prepaid tokens; nothing was logged. A row that was removed led to conflicts without pause, one write for each response time of the store.

All rows of an update are now parsed before any of them counts: each field must be there, of its type and from 0 to 10^15. A total below the row of this host is not written over either; it is spoilt, or a transaction took effect between two reads, which the next read settles. Until the rows can be used, the daemon draws nothing, refuses with 503 what it does not hold, reads them once a second and records allotment_unusable once for each reason. Tokens that were drawn before stay usable under their ceilings, since the total included them. A conflict that shows no changed row waits like a spoilt row.

Not detectable: a total that is spoilt to a smaller valid number, or removed, on a host that has drawn nothing itself.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -59,6 +59,9 @@
    */
   static final long HELD_ELSEWHERE_FACTOR = 4;
 
+  /** Delay in milliseconds before rows that can't be used are read again. */
+  static final long UNUSABLE_RETRY_MILLIS = 1_000;
+
   private record Waiter(long tokens, CompletableFuture<Outcome> outcome, Cancellable timer) {}
 
   private final String account;
@@ -80,6 +83,8 @@
   private boolean outcomeUnknown;
   private boolean callInProgress;
   private String failureReason = "";
+  private String unusableReason = "";
+  private long unusableUntilMillis = Long.MIN_VALUE;
   private CompletableFuture<Void> closeFuture;
 
   AccountBudget(
@@ -151,7 +156,9 @@
   CompletableFuture<Void> close() {
     if (closeFuture == null) {
       closeFuture = new CompletableFuture<>();
-      if (!callInProgress) {
+      if (scheduler.nowMillis() < unusableUntilMillis) {
+        closeFuture.complete(null);
+      } else if (!callInProgress) {
         rebalance();
       }
     }
@@ -160,7 +167,7 @@
 
   /** Draws tokens or returns surplus tokens as the demand requires. */
   void rebalance() {
-    if (callInProgress) {
+    if (callInProgress || scheduler.nowMillis() < unusableUntilMillis) {
       return;
     }
     if (!rowsKnown) {
@@ -170,9 +177,11 @@
     long change = desiredChange();
     if (change == 0 && !outcomeUnknown && !needsWrite()) {
       onNothingToChange();
-      return;
+    } else if (rows.isConsistent()) {
+      transact(change);
+    } else {
+      onUnusableRows(rows.totalKey() + " has less than " + rows.holderKey());
     }
-    transact(change);
   }
 
   /**
@@ -266,8 +275,7 @@
                 r -> {
                   callInProgress = false;
                   if (r instanceof ReadResult.Rows total) {
-                    applyRows(total.rows());
-                    rebalance();
+                    applyRows(total.rows(), false);
                   } else {
                     onFailure(r.toString());
                   }
@@ -308,15 +316,47 @@
     if (holder instanceof ReadResult.Rows h) {
       List<Row> found = new ArrayList<>(total);
       found.addAll(h.rows());
-      applyRows(found);
-      rebalance();
+      applyRows(found, false);
     } else {
       onFailure(holder.toString());
     }
   }
 
-  private void applyRows(List<Row> found) {
-    boolean changed = rows.update(found);
+  /** Applies rows that were read and goes on, or waits if one of them can't be used. */
+  private void applyRows(List<Row> found, boolean isConflict) {
+    AllotmentRows.Update update = rows.update(found);
+    if (update instanceof AllotmentRows.Update.Applied a && isConflict && !a.changed()) {
+      // A row that was removed is missing from the conflict; trying again at once would not end.
+      onUnusableRows("a conflict without a changed row");
+    } else if (update instanceof AllotmentRows.Update.Applied a) {
+      onRowsUsable(a.changed());
+      rebalance();
+    } else if (update instanceof AllotmentRows.Update.Unusable u) {
+      onUnusableRows(u.reason());
+    }
+  }
+
+  /**
+   * Draws nothing until the rows were read again and can be used. What was drawn before stays
+   * usable under its ceilings: the rows of the store included it when it was drawn.
+   */
+  private void onUnusableRows(String reason) {
+    rowsKnown = false;
+    unusableUntilMillis = scheduler.nowMillis() + UNUSABLE_RETRY_MILLIS;
+    if (!reason.equals(unusableReason)) {
+      unusableReason = reason;
+      log.record("allotment_unusable", Map.of("account", account, "reason", reason));
+    }
+    failureReason = "the rows of the budget can't be used";
+    refuseWaiters(new Outcome.Unavailable(failureReason));
+    if (closeFuture != null) {
+      closeFuture.complete(null);
+    } else {
+      scheduler.schedule(UNUSABLE_RETRY_MILLIS, this::rebalance);
+    }
+  }
+
+  private void onRowsUsable(boolean changed) {
     AllotmentRows.HolderRow holder = rows.holder();
     final boolean wasOwner = isOwner;
     isOwner = holder.incarnation().equals(incarnation);
@@ -381,6 +421,7 @@
     if (result instanceof WriteResult.Committed c) {
       final boolean isTakenOver = isTakeoverPending();
       rows.onCommitted(next, c.versions());
+      unusableReason = "";
       isOwner = true;
       outcomeUnknown = false;
       resolve();
@@ -390,8 +431,7 @@
         rebalance();
       }
     } else if (result instanceof WriteResult.Conflict c) {
-      applyRows(c.rows());
-      rebalance();
+      applyRows(c.rows(), true);
     } else {
       if (result instanceof WriteResult.Unknown) {
         outcomeUnknown = true;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.io.IOException;
 import java.util.List;
 import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.Mutation;
@@ -17,6 +18,9 @@
   private static final String TOTAL = "/total";
   private static final String HOST = "/host.";
 
+  /** Largest number in a row, so that sums of several can't overflow. */
+  private static final long MAX_NUMBER = 1_000_000_000_000_000L;
+
   /**
    * Row of the account.
    *
@@ -28,6 +32,10 @@
 
     static final TotalRow EMPTY = new TotalRow(0, 0, 0);
 
+    private void check() throws IOException {
+      requireTokens(drawn, committed, wanted);
+    }
+
     TotalRow with(HolderRow before, HolderRow after) {
       return new TotalRow(
           drawn + after.drawn() - before.drawn(),
@@ -60,6 +68,14 @@
 
     static final HolderRow EMPTY = new HolderRow("", 0, 0, 0, 0, 0, 0, SpendingCeiling.NONE);
 
+    private void check() throws IOException {
+      requireTokens(drawn, spent, committed, requests, wanted, forecast);
+      requireTokens(ceiling.base(), ceiling.sinceMillis());
+      if (!(ceiling.tokensPerMilli() >= 0 && ceiling.tokensPerMilli() <= MAX_NUMBER)) {
+        throw new IOException("the rise of the ceiling is out of range");
+      }
+    }
+
     /**
      * Returns the most tokens that the incarnation can have consumed if it had ended by a store
      * time.
@@ -97,26 +113,84 @@
     return holder;
   }
 
+  /** Outcome of an update. */
+  sealed interface Update {
+
+    /**
+     * The content is known.
+     *
+     * @param changed whether a version differs from the one known before
+     */
+    record Applied(boolean changed) implements Update {}
+
+    /**
+     * A row can't be used, so that the content is as before.
+     *
+     * @param reason key of the row and why
+     */
+    record Unusable(String reason) implements Update {}
+  }
+
   /**
    * Updates the known content from rows read from the store; a row that is not given is unchanged.
-   *
-   * @return true if a version differs from the one known before
    */
-  boolean update(List<Row> rows) {
-    boolean changed = false;
+  Update update(List<Row> rows) {
+    TotalRow newTotal = total;
+    HolderRow newHolder = holder;
+    long newTotalVersion = totalVersion;
+    long newHolderVersion = holderVersion;
     for (Row row : rows) {
-      boolean exists = row.version() != 0;
-      if (row.key().equals(totalKey)) {
-        changed |= row.version() != totalVersion;
-        totalVersion = row.version();
-        total = exists ? Json.read(row.value(), TotalRow.class) : TotalRow.EMPTY;
-      } else if (row.key().equals(holderKey)) {
-        changed |= row.version() != holderVersion;
-        holderVersion = row.version();
-        holder = exists ? Json.read(row.value(), HolderRow.class) : HolderRow.EMPTY;
+      try {
+        if (row.key().equals(totalKey)) {
+          newTotalVersion = row.version();
+          newTotal = parse(row, TotalRow.class, TotalRow.EMPTY, TotalRow::check);
+        } else if (row.key().equals(holderKey)) {
+          newHolderVersion = row.version();
+          newHolder = parse(row, HolderRow.class, HolderRow.EMPTY, HolderRow::check);
+        }
+      } catch (IOException e) {
+        return new Update.Unusable(
+            row.key() + ": " + RowValue.shorten(e.getMessage(), RowValue.MAX_REASON_LENGTH));
+      }
+    }
+    final boolean changed = newTotalVersion != totalVersion || newHolderVersion != holderVersion;
+    total = newTotal;
+    holder = newHolder;
+    totalVersion = newTotalVersion;
+    holderVersion = newHolderVersion;
+    return new Update.Applied(changed);
+  }
+
+  /** Checks the content of a row beyond the types of its fields. */
+  private interface Check<T> {
+    void accept(T value) throws IOException;
+  }
+
+  private static <T> T parse(Row row, Class<T> type, T absent, Check<T> check) throws IOException {
+    if (row.version() == 0) {
+      return absent;
+    }
+    T value = Json.readExact(row.value(), type);
+    check.accept(value);
+    return value;
+  }
+
+  private static void requireTokens(long... numbers) throws IOException {
+    for (long n : numbers) {
+      if (n < 0 || n > MAX_NUMBER) {
+        throw new IOException("the number " + n + " is out of range");
       }
     }
-    return changed;
+  }
+
+  /**
+   * Returns whether the row of the account can include the row of this host. If not, one of them
+   * was spoilt, or a transaction took effect between the reads of the two.
+   */
+  boolean isConsistent() {
+    return total.drawn() >= holder.drawn()
+        && total.committed() >= holder.committed()
+        && total.wanted() >= holder.wanted();
   }
 
   /** Returns the transaction that replaces the row of this host. */
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
@@ -23,6 +24,9 @@
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PrepaidBudgetsTest {
 
@@ -32,6 +36,7 @@
 
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final FakeTable table = new FakeTable(scheduler);
+  private final List<String> logged = new ArrayList<>();
   private final Set<String> killed = new HashSet<>();
 
   /** Forwards calls to the table until the process is killed. */
@@ -68,7 +73,7 @@
             new PrepaidBudgets.Identity(host, incarnation),
             800,
             () -> daemons,
-            (e, f) -> {});
+            (e, f) -> logged.add(e));
     b.updateAccounts(accountTerms(prepaid));
     b.start();
     return b;
@@ -109,6 +114,94 @@
     assertThat(reserve(b, 200)).isInstanceOf(Outcome.Reserved.class);
   }
 
+  static Stream<String> spoiltRows() {
+    return Stream.of(
+        "",
+        "x",
+        "null",
+        "[]",
+        "{}",
+        "{\"drawn\":0}",
+        "{\"drawn\":-1000000,\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":\"0\",\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":0.5,\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":null,\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":0,\"committed\":9e18,\"wanted\":0}",
+        "{\"drawn\":0,\"committed\":1e999999999,\"wanted\":0}",
+        "{\"drawn\":99999999999999999999,\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":0,\"committed\":0,\"wanted\":0}",
+        "{\"drawn\":0,\"committed\":0,\"wanted\":0,\"x\":" + "[".repeat(100_000));
+  }
+
+  /** Returns the tokens that are reserved by as many requests as are accepted in ten seconds. */
+  private long reserveRepeatedly(PrepaidBudgets budgets, long tokens) {
+    long reserved = 0;
+    for (int i = 0; i < 10; i++) {
+      reserved += reserve(budgets, tokens) instanceof Outcome.Reserved ? tokens : 0;
+    }
+    return reserved;
+  }
+
+  /**
+   * Guards against drawing tokens twice after another writer has spoilt the row with the tokens
+   * that were drawn by all.
+   */
+  @ParameterizedTest
+  @MethodSource("spoiltRows")
+  void drawsNothingWhileTheRowOfTheAccountIsSpoilt(String text) {
+    PrepaidBudgets a = daemon("a", 2, 1_000);
+    final PrepaidBudgets b = daemon("b", 2, 1_000);
+    assertThat(reserve(a, 100)).isInstanceOf(Outcome.Reserved.class);
+    assertThat(reserve(b, 600)).isInstanceOf(Outcome.Reserved.class);
+    table.putText("allotment/acme/total", text);
+    assertThat(reserveRepeatedly(a, 250) + reserveRepeatedly(b, 250)).isLessThanOrEqualTo(300);
+    assertThat(table.all("allotment/acme/total").get(0).value()).isEqualTo(text);
+    assertThat(logged).filteredOn("allotment_unusable"::equals).hasSizeBetween(1, 6);
+    var stopped = CompletableFuture.allOf(a.stop(), b.stop());
+    scheduler.run(2_000);
+    assertThat(stopped).isCompleted();
+  }
+
+  /** Guards against a daemon that draws nothing any more once a row has been spoilt. */
+  @Test
+  void drawsAgainOnceTheSpoiltRowIsRepaired() {
+    PrepaidBudgets a = daemon("a", 1, 1_000);
+    assertThat(reserve(a, 100)).isInstanceOf(Outcome.Reserved.class);
+    var total = table.get("allotment/acme/total", AllotmentRows.TotalRow.class);
+    table.putText("allotment/acme/total", "x");
+    assertThat(reserveRepeatedly(a, 950)).isZero();
+    table.put("allotment/acme/total", total);
+    scheduler.run(2 * AccountBudget.UNUSABLE_RETRY_MILLIS);
+    assertThat(reserve(a, 900)).isInstanceOf(Outcome.Reserved.class);
+  }
+
+  /** Guards against a successor that takes over more than the dead run can have left. */
+  @ParameterizedTest
+  @MethodSource("spoiltRows")
+  void takesNothingOverFromSpoiltRowOfTheHost(String text) {
+    PrepaidBudgets first = daemon("a", "a.1", 1, 1_000);
+    assertThat(reserve(first, 900)).isInstanceOf(Outcome.Reserved.class);
+    killed.add("a.1");
+    table.putText("allotment/acme/host.a", text);
+    PrepaidBudgets second = daemon("a", "a.2", 1, 1_000);
+    assertThat(reserveRepeatedly(second, 150)).isZero();
+    assertThat(logged).contains("allotment_unusable");
+  }
+
+  /** Guards against writes without pause while a row that was known is gone. */
+  @ParameterizedTest
+  @ValueSource(strings = {"allotment/acme/total", "allotment/acme/host.a"})
+  void pausesWhileRowIsGone(String key) {
+    PrepaidBudgets a = daemon("a", 1, 1_000);
+    assertThat(reserve(a, 100)).isInstanceOf(Outcome.Reserved.class);
+    table.remove(key);
+    table.omitsAbsentRows = true;
+    int before = table.writes;
+    assertThat(reserveRepeatedly(a, 950)).isZero();
+    assertThat(table.writes - before).isLessThan(20);
+    assertThat(logged).contains("allotment_unusable");
+  }
+
   /** Guards against refusals during a store outage while most of the budget is unspent. */
   @Test
   void servesFromHeldTokensDuringStoreOutage() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeTable.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/testing/FakeTable.java
@@ -42,6 +42,10 @@
   public Supplier<Fault> randomFaults = () -> Fault.NONE;
 
   public boolean isDown;
+
+  /** Whether conflicts tell nothing of rows that are absent. */
+  public boolean omitsAbsentRows;
+
   public int writes;
   public int reads;
 
@@ -57,7 +61,17 @@
 
   /** Writes a row without latency. */
   public void put(String key, Object value) {
-    rows.merge(key, new Row(key, 1, Json.write(value)), this::next);
+    putText(key, Json.write(value));
+  }
+
+  /** Writes a row with any text, as another writer may. */
+  public void putText(String key, String text) {
+    rows.merge(key, new Row(key, 1, text), this::next);
+  }
+
+  /** Removes a row, as another writer may. */
+  public void remove(String key) {
+    rows.remove(key);
   }
 
   private Row next(Row old, Row added) {
@@ -110,6 +124,7 @@
 
   private WriteResult apply(List<Mutation> mutations) {
     List<Row> conflicts = new ArrayList<>();
+    boolean isConflict = false;
     for (Mutation m : mutations) {
       Row row = rows.getOrDefault(m.key(), new Row(m.key(), 0, ""));
       boolean holds = true;
@@ -118,11 +133,12 @@
       } else if (m.expect() instanceof Mutation.Expect.Version expected) {
         holds = row.version() == expected.version();
       }
-      if (!holds) {
+      isConflict |= !holds;
+      if (!holds && !(omitsAbsentRows && row.version() == 0)) {
         conflicts.add(row);
       }
     }
-    if (!conflicts.isEmpty()) {
+    if (isConflict) {
       return new WriteResult.Conflict(conflicts);
     }
     List<Long> versions = new ArrayList<>();
