Keep exchanging reports after an unusable address or datagram

An address without a usable port, as another writer may leave it in the table of hosts or a datagram may name it in reply_to, threw while a report was sent. LoadExchange.repeatReport then did not schedule itself again, so that the daemon repeated no load and told nobody its version of the configuration, and the daemons behind that address got no report. Where it was thrown while a datagram was processed, as for the reply to a question, no datagram was received any more. A number of a report that is no number, too large or negative was made up or wrapped: a version of 2^63-1, which no daemon can have, makes each daemon that hears of it refuse all requests as outdated.

UdpLoadTransportTest.sendsToTheOthersIfOneAddressIsUnusable IllegalArgumentException: port out of range:70000 StringIndexOutOfBoundsException: begin 0, end -1, length 9

UdpLoadTransportTest.receivesOnAfterFailureOfTheListener expected: LoadReport[sender=a.1, ...] but was: null

UdpLoadTransportTest.ignoresReportsWithMalformedFields ["a.1",1,1e999] but was: LoadReport[sender=a.1, sequence=1, configurationVersion=, entries=[], limits=[]]

CrashReportFormatTest.rejectsMalformedEntries (11 cases) Expecting code to raise a throwable.

The transport now sends only to an IP address with a port from 1 to 65535, goes on to the next receiver, looks no host name up and keeps a bounded number of parsed addresses. An exception of a listener is logged, and the next datagram is received. Each field of a report must have its type and range, else the report counts as lost.

Datagrams of 60,000 nested arrays were already refused by the parser's limit. A block without traits was already ignored by the detector.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CrashReportFormat.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CrashReportFormat.java
@@ -27,6 +27,10 @@
   private static final String SIGHTINGS = "sightings";
   private static final String BLOCKS = "blocks";
   private static final String CLEARANCES = "clearances";
+
+  /** Largest age in a report, 31 years; the difference to a time does not overflow. */
+  private static final long MAX_AGE_MILLIS = 1_000_000_000_000L;
+
   private static final int SIGHTING_HEADER_FIELDS = 3;
   private static final int CLEARANCE_FIELDS = 3;
 
@@ -58,26 +62,37 @@
       requireFields(s, SIGHTING_HEADER_FIELDS);
       Set<String> traits = new HashSet<>();
       for (int i = SIGHTING_HEADER_FIELDS; i < s.size(); i++) {
-        traits.add(s.get(i).asText());
+        traits.add(JsonBodies.text(s.get(i)));
       }
-      sightings.add(new Sighting(traits, s.get(1).asBoolean(), s.get(0).asText(), age(s.get(2))));
+      sightings.add(
+          new Sighting(traits, s.get(1).asBoolean(), JsonBodies.text(s.get(0)), age(s.get(2))));
     }
     List<Block> blocks = new ArrayList<>();
     for (JsonNode b : root.path(BLOCKS)) {
       Map<String, Long> epochs = new HashMap<>();
-      b.fields().forEachRemaining(e -> epochs.put(e.getKey(), e.getValue().asLong()));
+      for (Map.Entry<String, JsonNode> e : b.properties()) {
+        epochs.put(e.getKey(), JsonBodies.wholeNumber(e.getValue(), Long.MAX_VALUE));
+      }
+      if (epochs.isEmpty()) {
+        throw new IOException("a block without traits");
+      }
       blocks.add(new Block(epochs));
     }
     List<Clearance> clearances = new ArrayList<>();
     for (JsonNode c : root.path(CLEARANCES)) {
       requireFields(c, CLEARANCE_FIELDS);
-      clearances.add(new Clearance(c.get(0).asText(), c.get(1).asLong(), age(c.get(2))));
+      clearances.add(
+          new Clearance(
+              JsonBodies.text(c.get(0)),
+              JsonBodies.wholeNumber(c.get(1), Long.MAX_VALUE),
+              age(c.get(2))));
     }
     return new CrashReport(root.path(REPLY_TO).asText(), sightings, blocks, clearances);
   }
 
-  private static long age(JsonNode field) {
-    return Math.max(0, field.asLong());
+  private static long age(JsonNode field) throws IOException {
+    boolean isNegative = field.isIntegralNumber() && field.doubleValue() < 0;
+    return isNegative ? 0 : JsonBodies.wholeNumber(field, MAX_AGE_MILLIS);
   }
 
   private static void requireFields(JsonNode fields, int count) throws IOException {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -17,10 +17,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.forward.CrashTransport;
 import org.hibiscusreel.coordination.forward.LoadTransport;
+import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.RequestLimit;
@@ -40,6 +42,15 @@
    */
   static final int MAX_REPORT_BYTES = 8_000;
 
+  /** Largest number of requests in an entry; the sum over all daemons fits into an int. */
+  private static final int MAX_REQUESTS = 1_000_000;
+
+  /** Largest other number in an entry; the sum over all daemons fits into a long. */
+  private static final long MAX_NUMBER = 1_000_000_000_000_000L;
+
+  /** Number of addresses that are kept; there are fewer daemons. */
+  private static final int MAX_ADDRESSES = 2_000;
+
   private static final int HEADER_FIELDS = 3;
   private static final int FIELDS_PER_ENTRY = 3;
   private static final int FIELDS_PER_LIMIT = 4;
@@ -108,12 +119,16 @@
       return;
     }
     for (String peer : peers) {
-      socket
-          .send(UdpPacket.of(ByteBuf.wrapForReading(bytes), toAddress(peer)))
-          .whenException(e -> logFailure("cannot send a report to " + peer, e));
+      toAddress(peer).ifPresent(address -> sendBytes(address, bytes));
     }
   }
 
+  private void sendBytes(InetSocketAddress receiver, byte[] bytes) {
+    socket
+        .send(UdpPacket.of(ByteBuf.wrapForReading(bytes), receiver))
+        .whenException(e -> logFailure("cannot send a report to " + receiver, e));
+  }
+
   /**
    * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
    * tokens, upstream, ...]}, with an array of {@code [upstream, limit or null, age, sent requests]}
@@ -148,12 +163,14 @@
     for (int i = HEADER_FIELDS; i < size; i += FIELDS_PER_ENTRY) {
       entries.add(
           new LoadReport.Entry(
-              fields.get(i).asText(), fields.get(i + 1).asInt(), fields.get(i + 2).asLong()));
+              JsonBodies.text(fields.get(i)),
+              (int) JsonBodies.wholeNumber(fields.get(i + 1), MAX_REQUESTS),
+              JsonBodies.wholeNumber(fields.get(i + 2), MAX_NUMBER)));
     }
     return new LoadReport(
-        fields.get(0).asText(),
-        fields.get(1).asLong(),
-        fields.get(2).asLong(),
+        JsonBodies.text(fields.get(0)),
+        JsonBodies.wholeNumber(fields.get(1), Long.MAX_VALUE),
+        JsonBodies.wholeNumber(fields.get(2), Long.MAX_VALUE),
         entries,
         hasLimits ? readLimits(fields.get(size)) : List.of());
   }
@@ -162,29 +179,42 @@
     List<UpstreamLimits.Report> result = new ArrayList<>();
     for (JsonNode limit : limits) {
       double perSecond = limit.path(1).asDouble();
-      if (limit.size() < FIELDS_PER_LIMIT || !(perSecond >= 0)) {
-        throw new IOException("a limit in a load report is incomplete or negative");
+      boolean isLimit = limit.path(1).isNull() || (limit.path(1).isNumber() && perSecond >= 0);
+      if (limit.size() < FIELDS_PER_LIMIT || !isLimit) {
+        throw new IOException("a limit in a load report is incomplete, negative or no number");
       }
       result.add(
           new UpstreamLimits.Report(
-              limit.get(0).asText(),
+              JsonBodies.text(limit.get(0)),
               limit.get(1).isNumber()
                   ? OptionalDouble.of(Math.min(RequestLimit.MAX_PER_SECOND, perSecond))
                   : OptionalDouble.empty(),
-              Math.max(0, limit.get(2).asLong()),
-              Math.max(0, limit.get(3).asLong())));
+              JsonBodies.wholeNumber(limit.get(2), MAX_NUMBER),
+              JsonBodies.wholeNumber(limit.get(3), MAX_NUMBER)));
     }
     return result;
   }
 
-  private InetSocketAddress toAddress(String peer) {
-    return addresses.computeIfAbsent(
-        peer,
-        key -> {
-          int colon = key.lastIndexOf(':');
-          return new InetSocketAddress(
-              key.substring(0, colon), Integer.parseInt(key.substring(colon + 1)));
-        });
+  /**
+   * Parses the address of another daemon, which may come from another writer. A host name is not
+   * looked up, since that would block the event loop.
+   */
+  private Optional<InetSocketAddress> toAddress(String peer) {
+    if (!SocketAddresses.isIpAndPort(peer)) {
+      logFailure("cannot send a report to a daemon", new IOException("no IP address with a port"));
+      return Optional.empty();
+    }
+    if (addresses.size() >= MAX_ADDRESSES) {
+      addresses.clear();
+    }
+    return Optional.of(
+        addresses.computeIfAbsent(
+            peer,
+            key -> {
+              int colon = key.lastIndexOf(':');
+              return new InetSocketAddress(
+                  key.substring(0, colon), Integer.parseInt(key.substring(colon + 1)));
+            }));
   }
 
   @Override
@@ -223,8 +253,9 @@
       } else {
         loadReceiver.accept(read(node));
       }
-    } catch (IOException e) {
-      logFailure("cannot parse a report", e);
+    } catch (IOException | RuntimeException e) {
+      // An exception that leaves the callback would end the receiving of reports.
+      logFailure("cannot process a report", e);
     }
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/JsonBodies.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/JsonBodies.java
@@ -90,14 +90,11 @@
     }
     JsonNode value = node.get(field);
     // The conversion to long wraps or saturates outside of its range.
-    if (!value.isNumber() || !value.canConvertToLong()) {
+    boolean fits = value.isNumber() && value.canConvertToLong() && value.doubleValue() >= 0;
+    if (!fits || value.longValue() > max) {
       throw new IOException("the field " + field + " is no number from 0 to " + max);
     }
-    long result = value.longValue();
-    if (value.doubleValue() < 0 || result < 0 || result > max) {
-      throw new IOException("the field " + field + " is no number from 0 to " + max);
-    }
-    return result;
+    return value.longValue();
   }
 
   /**
@@ -118,4 +115,34 @@
     }
     return result;
   }
+
+  /**
+   * Returns the whole number that a node holds.
+   *
+   * @param value a node, not null
+   * @param max largest value
+   * @return the number
+   * @throws IOException if the node is no whole number from 0 to {@code max}
+   */
+  public static long wholeNumber(JsonNode value, long max) throws IOException {
+    boolean isWhole = value.isIntegralNumber() && value.canConvertToLong();
+    if (!isWhole || value.longValue() < 0 || value.longValue() > max) {
+      throw new IOException("an element is no whole number from 0 to " + max);
+    }
+    return value.longValue();
+  }
+
+  /**
+   * Returns the text that a node holds.
+   *
+   * @param value a node, not null
+   * @return the text
+   * @throws IOException if the node is no text
+   */
+  public static String text(JsonNode value) throws IOException {
+    if (!value.isTextual()) {
+      throw new IOException("an element is no text");
+    }
+    return value.textValue();
+  }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/CrashReportFormatTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/CrashReportFormatTest.java
@@ -53,4 +53,24 @@
   void rejectsIncompleteEntries(String text) {
     assertThatThrownBy(() -> CrashReportFormat.read(parse(text))).isInstanceOf(IOException.class);
   }
+
+  /** Guards against traits, times and blocks that are made up for malformed ones. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "{\"blocks\":[{}]}",
+        "{\"blocks\":[7]}",
+        "{\"blocks\":[[]]}",
+        "{\"blocks\":[{\"t\":\"x\"}]}",
+        "{\"blocks\":[{\"t\":1e999}]}",
+        "{\"sightings\":[[\"u\",true,1e999,\"t\"]]}",
+        "{\"sightings\":[[\"u\",true,9223372036854775807,\"t\"]]}",
+        "{\"sightings\":[[\"u\",true,1,{}]]}",
+        "{\"sightings\":[[[],true,1,\"t\"]]}",
+        "{\"clearances\":[[\"t\",99999999999999999999,1]]}",
+        "{\"clearances\":[[7,1,1]]}"
+      })
+  void rejectsMalformedEntries(String text) {
+    assertThatThrownBy(() -> CrashReportFormat.read(parse(text))).isInstanceOf(IOException.class);
+  }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -135,4 +135,69 @@
     loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
     assertThat(next()).isEqualTo(REPORT);
   }
+
+  /** Guards against reports that are no longer sent because one address is not usable. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"", "x", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:-1", "localhost:1", "[::1"})
+  void sendsToTheOthersIfOneAddressIsUnusable(String address) throws Exception {
+    start();
+    loop.run(() -> sender.send(List.of(address, "127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+
+  /** Guards against a receiver that an exception of its listener ends. */
+  @Test
+  void receivesOnAfterFailureOfTheListener() throws Exception {
+    start();
+    loop.run(
+        () ->
+            receiver.receiveCrashes(
+                r -> {
+                  throw new IllegalStateException("the listener fails");
+                }));
+    List<String> peers = List.of("127.0.0.1:" + second.getPort());
+    CrashReport report = new CrashReport("x", List.of(), List.of(), List.of());
+    loop.run(() -> sender.sendCrashes(peers, report));
+    loop.run(() -> sender.send(peers, REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
+
+  /**
+   * Guards against numbers that are made up for malformed ones: a version that no daemon has makes
+   * each daemon that hears of it refuse all requests.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "[\"a.1\",1,1e999]",
+        "[\"a.1\",1,99999999999999999999]",
+        "[\"a.1\",1,-1]",
+        "[\"a.1\",1,\"12\"]",
+        "[\"a.1\",1e999,12]",
+        "[7,1,12]",
+        "[\"a.1\",1,12,\"u\",-5,900]",
+        "[\"a.1\",1,12,\"u\",4294967297,900]",
+        "[\"a.1\",1,12,\"u\",1,1e18]",
+        "[\"a.1\",1,12,{},1,1]",
+        "[\"a.1\",1,12,[[\"u\",\"1\",0,0]]]",
+        "[\"a.1\",1,12,[[\"u\",1,1e999,0]]]",
+        "[\"a.1\",1,12,[7]]",
+        "[]",
+        "7",
+        "null",
+        "\"x\"",
+        ""
+      })
+  void ignoresReportsWithMalformedFields(String text) throws Exception {
+    start();
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    byte[] nested = "[".repeat(60_000).getBytes(StandardCharsets.UTF_8);
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      s.send(new DatagramPacket(bytes, bytes.length, second));
+      s.send(new DatagramPacket(nested, nested.length, second));
+    }
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), REPORT));
+    assertThat(next()).isEqualTo(REPORT);
+  }
 }
