Count and reach the other daemons beside a spoilt row of a host

One row of the table of hosts that was no JSON ended the processing of each count, so the daemon never learned of any other one: it sent no load and crash reports, and requests went to upstreams that others had filled. A row without an address, or with an unusable one, was passed on and met an exception where reports are sent.

FleetFollowerTest.countsAndKnowsTheOtherDaemonsBesideSpoiltRows x : Expecting ArrayList: [] to contain only: ["127.0.0.1:8"] {} : Expecting ArrayList: [null, "127.0.0.1:8", ...] to contain only: ["127.0.0.1:8"]

FleetFollowerTest.replacesItsOwnRowIfThatIsSpoilt UncheckedIOException: JsonParseException: Unrecognized token 'x'

The cause is that Json.read threw inside the callback of the store's response. Rows of hosts are now read by RowValue with exact fields and an IP address with a port. A row that can't be used still counts as a daemon, since a count that is too high only makes the shares smaller, names no receiver of reports, and is recorded once (host_unusable). A daemon whose own row was spoilt writes it again.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.ConfigurationLag;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
@@ -99,6 +101,7 @@
   private final ConfigurationLag lag = new ConfigurationLag();
   private final UnusableRows unusableConfigurations;
   private final UnusableRows unusableUpstreams;
+  private final UnusableRows unusableHosts;
   private final FeedFollower configurations;
   private final FeedFollower upstreamRows;
   private ForwardingTable current;
@@ -137,6 +140,7 @@
     this.listener = Objects.requireNonNull(listener, "listener");
     this.unusableConfigurations = new UnusableRows(log, "configuration_unusable", "row");
     this.unusableUpstreams = new UnusableRows(log, "upstream_unusable", "upstream");
+    this.unusableHosts = new UnusableRows(log, "host_unusable", "row");
     this.configurations =
         new FeedFollower(
             feed, rows.configurationTable(), scheduler, log, new ConfigurationListener());
@@ -248,16 +252,37 @@
     scheduler.schedule(DAEMON_COUNT_INTERVAL_MILLIS, this::count);
   }
 
+  /** Returns the addresses of the other daemons; a row that can't be used names none. */
   private List<String> otherAddresses(List<Row> hosts) {
     List<String> addresses = new ArrayList<>();
+    unusableHosts.retain(hosts.stream().map(Row::key).toList());
     for (Row r : hosts) {
-      if (!r.key().equals(HOST_KEY_PREFIX + host)) {
-        addresses.add(Json.read(r.value(), HostRow.class).address());
+      Change row = new Change(r.key(), Optional.of(r.value()));
+      RowValue<HostRow> value = RowValue.parse(row.value(), FleetFollower::toHostRow);
+      boolean isOwn = r.key().equals(HOST_KEY_PREFIX + host);
+      if (value instanceof RowValue.Unusable<HostRow> u) {
+        unusableHosts.onUnusable(row, u.reason());
+        if (isOwn) {
+          registerHost();
+        }
+      } else if (value instanceof RowValue.Present<HostRow> p) {
+        unusableHosts.onUsable(r.key());
+        if (!isOwn) {
+          addresses.add(p.value().address());
+        }
       }
     }
     return addresses;
   }
 
+  private static HostRow toHostRow(String text) throws IOException {
+    HostRow row = Json.readExact(text, HostRow.class);
+    if (!SocketAddresses.isIpAndPort(row.address())) {
+      throw new IOException("the address is no IP address with a port");
+    }
+    return row;
+  }
+
   /** Applies the last valid one of several versions. */
   private void applyNewest(List<Change> changes) {
     for (int i = changes.size() - 1; i >= 0; i--) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -18,6 +18,8 @@
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetFollowerTest {
 
@@ -28,6 +30,7 @@
   private final List<String> removedUpstreams = new ArrayList<>();
   private final List<String> peers = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
+  private boolean isListenerFailing;
   private final FleetFollower follower =
       new FleetFollower(
           feed,
@@ -44,11 +47,13 @@
           new FleetFollower.Listener() {
             @Override
             public void onConfiguration(ForwardingTable t) {
+              failIfProgrammed();
               versions.add(t.version());
             }
 
             @Override
             public void onUpstreamsRemoved(List<String> ids) {
+              failIfProgrammed();
               removedUpstreams.addAll(ids);
             }
 
@@ -58,6 +63,12 @@
             }
           });
 
+  private void failIfProgrammed() {
+    if (isListenerFailing) {
+      throw new IllegalStateException("the listener fails");
+    }
+  }
+
   private static ForwardingTable configuration(long version) {
     return new ForwardingTable(
         version, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
@@ -374,4 +385,41 @@
     scheduler.run(2_500);
     assertThat(usable()).containsExactly("a");
   }
+
+  /** Guards against losing all other daemons because another writer has spoilt one row. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "x",
+        "null",
+        "[]",
+        "{}",
+        "{\"incarnation\":\"x.1\"}",
+        "{\"incarnation\":\"x.1\",\"address\":null}",
+        "{\"incarnation\":\"x.1\",\"address\":5}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1:0\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1:70000\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"somewhere:80\"}"
+      })
+  void countsAndKnowsTheOtherDaemonsBesideSpoiltRows(String text) {
+    table.putText("hosts//a", text);
+    table.put("hosts//other", new FleetFollower.HostRow("other.1", "127.0.0.1:8"));
+    start();
+    scheduler.run(3 * FleetFollower.DAEMON_COUNT_INTERVAL_MILLIS);
+    assertThat(peers).containsOnly("127.0.0.1:8");
+    assertThat(follower.daemonCount()).isEqualTo(3);
+    assertThat(log).filteredOn("host_unusable null"::equals).hasSize(1);
+  }
+
+  /** Guards against a daemon that the others no longer know because its row was spoilt. */
+  @Test
+  void replacesItsOwnRowIfThatIsSpoilt() {
+    start();
+    table.putText("hosts//host", "x");
+    scheduler.run(2 * FleetFollower.DAEMON_COUNT_INTERVAL_MILLIS);
+    assertThat(table.get("hosts//host", FleetFollower.HostRow.class).address())
+        .isEqualTo("127.0.0.1:7");
+  }
 }
