Go on following a table after a failure of the listener

An exception of the listener left FeedFollower before its next call was made. It was lost in the callback, the follower stood still until the call counted as overdue after 1.7 s, and the store was recorded as lost although it had answered.

FleetFollowerTest.followsOnAfterFailureOfTheListener Expecting actual: ["a", "b"] to contain exactly (and in same order): ["b", "c"]

Meanwhile callers' requests went to upstreams that had left. The failure is now recorded (rows_not_applied), and the next call is made at once. With rows read by RowValue no known row leads to such a failure; this is for faults of this program.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -174,17 +174,30 @@
     if (call.isFullRead()) {
       needsFullRead = false;
       isConfirmed = false;
-      listener.onFullRead(c.changes());
+      notifyListener(() -> listener.onFullRead(c.changes()));
     } else {
       isConfirmed = true;
       knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(call, c));
       if (!c.changes().isEmpty()) {
-        listener.onChanges(c.changes());
+        notifyListener(() -> listener.onChanges(c.changes()));
       }
     }
     call();
   }
 
+  /**
+   * Calls the listener. Its failure must not keep the follower from the next call, which would come
+   * only when this one counts as overdue.
+   */
+  private void notifyListener(Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException e) {
+      String reason = RowValue.shorten(String.valueOf(e), RowValue.MAX_REASON_LENGTH);
+      log.record("rows_not_applied", Map.of("table", table, "reason", reason));
+    }
+  }
+
   /** Drops a read that would revert changes that were already applied. */
   private void onStaleRead() {
     if (needsFullRead) {
@@ -227,7 +240,7 @@
     if (isStoreUnavailable) {
       isStoreUnavailable = false;
       log.record("store_regained", Map.of("table", table));
-      listener.onStoreAvailable();
+      notifyListener(listener::onStoreAvailable);
     }
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -422,4 +422,21 @@
     assertThat(table.get("hosts//host", FleetFollower.HostRow.class).address())
         .isEqualTo("127.0.0.1:7");
   }
+
+  /** Guards against a follower that stops, or skips later changes, when its listener fails. */
+  @Test
+  void followsOnAfterFailureOfTheListener() {
+    isListenerFailing = true;
+    feed.polls.get("configurations").add(changes(12, "config", "6"));
+    feed.polls.get("upstreams").add(changes(12, "a", null));
+    feed.polls.get("upstreams").add(changes(13, "c", "x"));
+    start();
+    assertThat(usable()).containsExactly("b", "c");
+    isListenerFailing = false;
+    feed.polls.get("configurations").add(changes(13, "config", "7"));
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS + 100);
+    assertThat(versions).contains(7L);
+    assertThat(log).contains("rows_not_applied upstreams", "rows_not_applied configurations");
+    assertThat(log).noneMatch(line -> line.startsWith("store_call_overdue"));
+  }
 }
