--- a/coordination/src/test/java/org/hibiscusreel/coordination/config/ConfigurationFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/config/ConfigurationFollowerTest.java
@@ -22,12 +22,15 @@
 import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.platform.TableKeys;
 import org.hibiscusreel.coordination.port.PeerTransport;
+import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.timeline.EventRecorder;
 import org.hibiscusreel.core.timeline.HybridClock;
 import org.hibiscusreel.core.timeline.TimelineEvent;
 import org.hibiscusreel.wire.FetchConfigurationRequest;
 import org.hibiscusreel.wire.FetchConfigurationResponse;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ConfigurationFollowerTest {
 
@@ -94,6 +97,33 @@
     assertThat(follower.current().orElseThrow().serving().maxTokens()).isEqualTo(1);
   }
 
+  /** Guards against a follower that stops at a head row that another writer has spoilt. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "x",
+        "null",
+        "[]",
+        "{}",
+        "{\"version\":\"many\"}",
+        "{\"version\":99999999999999999999,\"digest\":\"x\"}",
+        "{\"version\":1e999999999,\"digest\":\"x\"}"
+      })
+  void followsOnAfterSpoiltHeadRow(String text) {
+    publish(1);
+    follower.start();
+    String key = platform.rows.firstKey();
+    Row head = platform.rows.get(key);
+    platform.rows.put(key, new Row(key, head.version() + 1, text));
+    platform.advance(3_000);
+    assertThat(follower.version()).isEqualTo(1);
+    platform.rows.put(key, head);
+    publish(2);
+    platform.advance(3_000);
+    assertThat(follower.version()).isEqualTo(2);
+  }
+
   @Test
   void refusesBodyThatDoesNotMatchItsDigest() {
     publish(1);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -16,6 +16,7 @@
 import org.hibiscusreel.coordination.forward.CallerRequest;
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
+import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
@@ -159,6 +160,15 @@
     }
   }
 
+  /** Guards against an exception in place of an attempt that was not sent. */
+  @ParameterizedTest
+  @ValueSource(strings = {"[::1]:1", "127.0.0.1:1", "127.000.000.001:00001"})
+  void reportsUnreachableAddressesThatAreValidAsNotSent(String address) throws Exception {
+    assertThat(SocketAddresses.isIpAndPort(address)).isTrue();
+    send(address);
+    assertThat(receivedEvents()).isEqualTo("[failure NOT_SENT]");
+  }
+
   /** Guards against a limit that is missed because the request was not run. */
   @Test
   void reportsLimitOfEachResponse() throws Exception {
