--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,6 +18,8 @@
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetFollowerTest {
 
@@ -27,6 +30,7 @@
   private final List<String> removedUpstreams = new ArrayList<>();
   private final List<String> peers = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
+  private boolean isListenerFailing;
   private final FleetFollower follower =
       new FleetFollower(
           feed,
@@ -37,17 +41,19 @@
           new FleetFollower.RowFormat(
               "configurations",
               "upstreams",
-              c -> c.value().map(v -> configuration(Long.parseLong(v))),
+              c -> RowValue.parse(c.value(), v -> configuration(Long.parseLong(v))),
               FleetFollowerTest::upstream),
           (e, f) -> log.add(e + " " + f.get("table")),
           new FleetFollower.Listener() {
             @Override
             public void onConfiguration(ForwardingTable t) {
+              failIfProgrammed();
               versions.add(t.version());
             }
 
             @Override
             public void onUpstreamsRemoved(List<String> ids) {
+              failIfProgrammed();
               removedUpstreams.addAll(ids);
             }
 
@@ -57,16 +63,26 @@
             }
           });
 
+  private void failIfProgrammed() {
+    if (isListenerFailing) {
+      throw new IllegalStateException("the listener fails");
+    }
+  }
+
   private static ForwardingTable configuration(long version) {
     return new ForwardingTable(
         version, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
   }
 
-  private static Optional<UpstreamEntry> upstream(ChangeFeed.Change change) {
-    return change
-        .value()
-        .filter(v -> !v.equals("invalid"))
-        .map(v -> new UpstreamEntry(change.key(), "s", v, "d", v.equals("leaving"), 1, 0));
+  private static RowValue<UpstreamEntry> upstream(ChangeFeed.Change change) {
+    return RowValue.parse(change.value(), v -> entry(change.key(), v));
+  }
+
+  private static UpstreamEntry entry(String id, String text) throws IOException {
+    if (text.equals("invalid")) {
+      throw new IOException("invalid");
+    }
+    return new UpstreamEntry(id, "s", text, "d", text.equals("leaving"), 1, 0);
   }
 
   /**
@@ -343,6 +359,19 @@
     return Collections.nCopies(count, new ChangeFeed.Result.Failed("down"));
   }
 
+  /** Guards against using an odd row for the grace period that is meant for missing rows. */
+  @Test
+  void dropsUpstreamWhoseRowIsOddAfterAnOutageAtOnce() {
+    start();
+    feed.polls.get("upstreams").add(new ChangeFeed.Result.Failed("down"));
+    feed.all.get("upstreams").add(changes(11, "a", "invalid", "b", "x"));
+    feed.polls.get("upstreams").add(changes(12, "b", "invalid"));
+    scheduler.run(1_300);
+    assertThat(usable()).isEmpty();
+    assertThat(removedUpstreams).containsExactly("a", "b");
+    assertThat(log).filteredOn(line -> line.startsWith("upstream_unusable")).hasSize(2);
+  }
+
   /** Guards against losing all upstreams whose entries expired while the store was unavailable. */
   @Test
   void keepsExpiredUpstreamsBrieflyAfterTheStoreIsAvailableAgain() {
@@ -356,4 +385,58 @@
     scheduler.run(2_500);
     assertThat(usable()).containsExactly("a");
   }
+
+  /** Guards against losing all other daemons because another writer has spoilt one row. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "x",
+        "null",
+        "[]",
+        "{}",
+        "{\"incarnation\":\"x.1\"}",
+        "{\"incarnation\":\"x.1\",\"address\":null}",
+        "{\"incarnation\":\"x.1\",\"address\":5}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1:0\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"10.0.0.1:70000\"}",
+        "{\"incarnation\":\"x.1\",\"address\":\"somewhere:80\"}"
+      })
+  void countsAndKnowsTheOtherDaemonsBesideSpoiltRows(String text) {
+    table.putText("hosts//a", text);
+    table.put("hosts//other", new FleetFollower.HostRow("other.1", "127.0.0.1:8"));
+    start();
+    scheduler.run(3 * FleetFollower.DAEMON_COUNT_INTERVAL_MILLIS);
+    assertThat(peers).containsOnly("127.0.0.1:8");
+    assertThat(follower.daemonCount()).isEqualTo(3);
+    assertThat(log).filteredOn("host_unusable null"::equals).hasSize(1);
+  }
+
+  /** Guards against a daemon that the others no longer know because its row was spoilt. */
+  @Test
+  void replacesItsOwnRowIfThatIsSpoilt() {
+    start();
+    table.putText("hosts//host", "x");
+    scheduler.run(2 * FleetFollower.DAEMON_COUNT_INTERVAL_MILLIS);
+    assertThat(table.get("hosts//host", FleetFollower.HostRow.class).address())
+        .isEqualTo("127.0.0.1:7");
+  }
+
+  /** Guards against a follower that stops, or skips later changes, when its listener fails. */
+  @Test
+  void followsOnAfterFailureOfTheListener() {
+    isListenerFailing = true;
+    feed.polls.get("configurations").add(changes(12, "config", "6"));
+    feed.polls.get("upstreams").add(changes(12, "a", null));
+    feed.polls.get("upstreams").add(changes(13, "c", "x"));
+    start();
+    assertThat(usable()).containsExactly("b", "c");
+    isListenerFailing = false;
+    feed.polls.get("configurations").add(changes(13, "config", "7"));
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS + 100);
+    assertThat(versions).contains(7L);
+    assertThat(log).contains("rows_not_applied upstreams", "rows_not_applied configurations");
+    assertThat(log).noneMatch(line -> line.startsWith("store_call_overdue"));
+  }
 }
