Store the time from which a ceiling rises

Cause: with the exact reading of rows, a row without the steady time of its ceiling, as older versions write it, counts as spoilt, so that no daemon could take it over after an upgrade.

Change: the row has the fields that it had; sinceMillis is now the time from which the ceiling rises. A row of an older version has the time of its declaration there, so that it counts as rising from then on, which is never less than what that version allowed itself. The log has ceiling_rise_ms in place of ceiling_age_ms.

PrepaidBudgetsTest.takesOverRowOfAnOlderVersion is new and passes; it was not run without the change.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -475,7 +475,8 @@
     fields.put("before", isOwner ? "" : rows.holder().incarnation());
     if (isTakeoverPending()) {
       fields.put("before_spent", rows.holder().spent());
-      fields.put("ceiling_age_ms", clock.firstCallMillis() - rows.holder().ceiling().sinceMillis());
+      fields.put(
+          "ceiling_rise_ms", clock.firstCallMillis() - rows.holder().ceiling().sinceMillis());
     }
     fields.put("outcome", result.getClass().getSimpleName());
     log.record("allotment", fields);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -368,6 +369,23 @@
     assertThat(served).isBetween(90_000L, 100_000L);
   }
 
+  /** Guards against a row of an older version that counts as spoilt after an upgrade. */
+  @Test
+  void takesOverRowOfAnOlderVersion() {
+    table.put("allotment/acme/total", new AllotmentRows.TotalRow(50_000, 20_000, 20_000));
+    table.putText(
+        "allotment/acme/host.a",
+        "{\"incarnation\":\"a.1\",\"drawn\":50000,\"spent\":20000,\"committed\":20000,"
+            + "\"requests\":20,\"wanted\":20000,\"forecast\":20000,"
+            + "\"ceiling\":{\"base\":30000,\"tokensPerMilli\":1.5,\"sinceMillis\":0}}");
+    scheduler.run(5_000);
+    PrepaidBudgets successor = daemon("a", "a.2", 1, 60_000);
+    assertThat(reserve(successor, 1_000)).isInstanceOf(Outcome.Reserved.class);
+    AllotmentRows.HolderRow row = table.get("allotment/acme/host.a", AllotmentRows.HolderRow.class);
+    // The older version allowed itself 30,000 and five seconds of the rise.
+    assertThat(row.spent()).isEqualTo(37_500);
+  }
+
   /** Guards against spending tokens of a killed daemon before it is known when it had ended. */
   @Test
   void takesOverNothingUntilTheEndOfTheKilledDaemonIsKnown() {
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -159,7 +159,7 @@
     double rate = Math.max(own, (double) inherited(nowMillis) / HOLD_AHEAD_MILLIS);
     long base = spent + reserved + waiting + headroom(nowMillis);
     return new SpendingCeiling(
-        base, rate * CEILING_RATE_FACTOR, storeMillis, CEILING_STEADY_MILLIS);
+        base, rate * CEILING_RATE_FACTOR, storeMillis + CEILING_STEADY_MILLIS);
   }
 
   private long headroom(long nowMillis) {
@@ -187,7 +187,8 @@
     long usable = Math.min(allowedByCeiling(storeMillis), Math.max(0, free()));
     boolean isLow =
         waiting > allowedByCeiling(storeMillis) || usable < Math.min(free(), headroom / 2);
-    boolean isOld = storeMillis - ceilings.get(0).sinceMillis() > maxAgeMillis;
+    long declaredAtMillis = ceilings.get(0).sinceMillis() - CEILING_STEADY_MILLIS;
+    boolean isOld = storeMillis - declaredAtMillis > maxAgeMillis;
     return isLow || usable > 2 * headroom || (isOld && usable > 0);
   }
 
--- a/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
@@ -9,16 +9,13 @@
  * without declaring a new one.
  *
  * @param base total tokens that may be consumed at the time of the declaration
- * @param tokensPerMilli rise of the bound once its steady time has passed
- * @param sinceMillis time of the store in milliseconds, not later than the declaration
- * @param steadyMillis time after {@code sinceMillis} during which the bound does not rise, in
- *     milliseconds
+ * @param tokensPerMilli rise of the bound
+ * @param sinceMillis time of the store in milliseconds from which the bound rises
  */
-public record SpendingCeiling(
-    long base, double tokensPerMilli, long sinceMillis, long steadyMillis) {
+public record SpendingCeiling(long base, double tokensPerMilli, long sinceMillis) {
 
   /** Ceiling that allows no tokens. */
-  public static final SpendingCeiling NONE = new SpendingCeiling(0, 0, 0, 0);
+  public static final SpendingCeiling NONE = new SpendingCeiling(0, 0, 0);
 
   /**
    * Returns the bound at a given time.
@@ -27,7 +24,6 @@
    * @return tokens
    */
   public long at(long storeMillis) {
-    long risingMillis = Math.max(0, storeMillis - sinceMillis - steadyMillis);
-    return base + (long) (tokensPerMilli * risingMillis);
+    return base + (long) (tokensPerMilli * Math.max(0, storeMillis - sinceMillis));
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/AccountAllotmentTest.java
@@ -7,7 +7,7 @@
 
 class AccountAllotmentTest {
 
-  private static final SpendingCeiling HIGH = new SpendingCeiling(1_000_000, 0, 0, 0);
+  private static final SpendingCeiling HIGH = new SpendingCeiling(1_000_000, 0, 0);
 
   private final AccountAllotment allotment = new AccountAllotment();
 
@@ -43,7 +43,7 @@
   /** Guards against consuming tokens that a successor would count as unspent. */
   @Test
   void reservesNoMoreThanTheDeclaredCeilingAllows() {
-    allotment.resolveChanges(1_000, new SpendingCeiling(300, 0.1, 5_000, 4_000));
+    allotment.resolveChanges(1_000, new SpendingCeiling(300, 0.1, 9_000));
     assertThat(allotment.tryReserve(301, 0, 5_000)).isFalse();
     assertThat(allotment.tryReserve(300, 0, 5_000)).isTrue();
     assertThat(allotment.tryReserve(1, 0, 9_000)).isFalse();
@@ -54,12 +54,12 @@
   /** Guards against applying a ceiling whose write may have been lost. */
   @Test
   void appliesTheLowestCeilingThatTheStoreMayHold() {
-    allotment.resolveChanges(1_000, new SpendingCeiling(100, 0, 0, 0));
-    allotment.beginChange(0, new SpendingCeiling(500, 0, 0, 0));
+    allotment.resolveChanges(1_000, new SpendingCeiling(100, 0, 0));
+    allotment.beginChange(0, new SpendingCeiling(500, 0, 0));
     assertThat(allotment.allowedByCeiling(0)).isEqualTo(100);
-    allotment.beginChange(0, new SpendingCeiling(50, 0, 0, 0));
+    allotment.beginChange(0, new SpendingCeiling(50, 0, 0));
     assertThat(allotment.allowedByCeiling(0)).isEqualTo(50);
-    allotment.resolveChanges(1_000, new SpendingCeiling(500, 0, 0, 0));
+    allotment.resolveChanges(1_000, new SpendingCeiling(500, 0, 0));
     assertThat(allotment.allowedByCeiling(0)).isEqualTo(500);
   }
 
--- a/core/src/test/java/org/hibiscusreel/core/budget/SpendingCeilingTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/SpendingCeilingTest.java
@@ -6,7 +6,7 @@
 
 class SpendingCeilingTest {
 
-  private final SpendingCeiling ceiling = new SpendingCeiling(1_000, 2, 50_000, 4_000);
+  private final SpendingCeiling ceiling = new SpendingCeiling(1_000, 2, 54_000);
 
   @Test
   void staysSteadyBeforeItRises() {
@@ -15,9 +15,9 @@
     assertThat(ceiling.at(54_000)).isEqualTo(1_000);
   }
 
-  /** Guards against a jump that allows the rise of the whole steady time at its end. */
+  /** Guards against a jump at the time from which the bound rises. */
   @Test
-  void risesWithoutJumpAfterItsSteadyTime() {
+  void risesWithoutJump() {
     assertThat(ceiling.at(54_001)).isEqualTo(1_002);
     assertThat(ceiling.at(55_000)).isEqualTo(3_000);
     assertThat(ceiling.at(60_000)).isEqualTo(13_000);
