Keep requests at silent upstreams that they cannot leave

Callers saw streams cut and 502 although their upstream was sound and would have gone on after a silence of a second.

Cause: the silence check cancelled the attempt first and asked afterwards whether the request could go on elsewhere. Without an attempt, a retry or another upstream left, a begun stream was aborted and a plain request failed. The cancelled attempt also counted as a failure of the upstream, which shortened the limit of all other requests there from none or 1.25 s to 0.8 s, so that requests at one silent upstream ended each other.

Now an attempt at a silent upstream ends only if the request can go on at a healthy upstream at that moment, within its attempts and the retry budget; otherwise it waits on and is checked again every 200 ms. The old attempt is still cancelled before the next one is sent. Silence suspends an upstream for the choice of others as before, but shortens the limit of requests there to 1.6 s only, beyond the second or so for which a sound upstream may be silent; failures still shorten it to 0.8 s.

Before: keepsStreamAtSilentUpstreamUnlessItCanMove: Expecting ["begin 200 u0", "id: 1", "abort"] not to contain ["abort"] keepsRepeatableRequestAtSilentUpstreamUnlessItCanMove: Expecting actual: ["FAILED"] to contain exactly (and in same order): ["200 late"] keepsRequestsThatWaitWhereAnotherOneIsSilent: Expecting value to be false but was true movesSilentStreamAsSoonAsAnotherUpstreamIsThere: Expected size: 2 but was: 1 takesRetryOnlyWhenSilentRequestMoves failed too, since all streams were cut. movesRequestsThatWaitForLongWhereAnotherOneIsSilent and cancelsAttemptAtSilentUpstreamBeforeTheNextOne passed before and guard what must not change.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -31,6 +31,12 @@
    */
   static final long SUSPECT_SILENCE_LIMIT_MILLIS = 800;
 
+  /**
+   * Longest time in milliseconds without bytes from an upstream that is silent for other requests
+   * too. A sound upstream may be silent for a second or so.
+   */
+  static final long SHARED_SILENCE_LIMIT_MILLIS = 1_600;
+
   /**
    * A stream is moved to another upstream after a pause of this many times the route's longest
    * pause.
@@ -58,6 +64,12 @@
     /** Called when the stream is complete. */
     void onStreamComplete();
 
+    /**
+     * Tells whether the request could go on at another upstream now if this attempt ended. Takes no
+     * retry from the budget.
+     */
+    boolean canMove();
+
     /** Called when the attempt failed. */
     void onFailed(AttemptOutcome outcome, String reason);
   }
@@ -82,6 +94,7 @@
   private boolean isPromptProcessed;
   private boolean isAnswered;
   private boolean isPaused;
+  private boolean isSilenceRecorded;
   private boolean ended;
   private long sentAtMillis;
   private long lastActivityAtMillis;
@@ -262,7 +275,7 @@
 
   private void fail(AttemptOutcome outcome, String reason) {
     finish();
-    if (outcome != AttemptOutcome.NOT_EXECUTED) {
+    if (outcome != AttemptOutcome.NOT_EXECUTED && outcome != AttemptOutcome.SILENT) {
       load.onFailure(forwarder.scheduler().nowMillis());
     }
     owner.onFailed(outcome, reason);
@@ -287,6 +300,7 @@
 
   private void recordActivity() {
     lastActivityAtMillis = forwarder.scheduler().nowMillis();
+    isSilenceRecorded = false;
     forwarder.crashes().onAlive(upstream, sentAtMillis);
   }
 
@@ -298,18 +312,34 @@
 
   private void checkSilence() {
     long now = forwarder.scheduler().nowMillis();
-    if (!isPaused && now - lastActivityAtMillis > silenceLimitMillis(now)) {
+    long silentMillis = now - lastActivityAtMillis;
+    if (isPaused || silentMillis <= silenceLimitMillis(now)) {
+      scheduleSilenceCheck();
+      return;
+    }
+    if (!isSilenceRecorded) {
+      isSilenceRecorded = true;
+      load.onSilence(now);
+    }
+    // A sound upstream may go on after a silence, so a request that can't go on elsewhere waits.
+    if (owner.canMove()) {
       exchange.cancel();
-      fail(AttemptOutcome.SILENT, "no bytes for " + (now - lastActivityAtMillis) + " ms");
+      fail(AttemptOutcome.SILENT, "no bytes for " + silentMillis + " ms");
     } else {
       scheduleSilenceCheck();
     }
   }
 
   private long silenceLimitMillis(long nowMillis) {
-    if (load.isSuspended(nowMillis)) {
+    if (load.hasFailed(nowMillis)) {
       return SUSPECT_SILENCE_LIMIT_MILLIS;
     }
+    long limit = ownSilenceLimitMillis();
+    return load.isSuspended(nowMillis) ? Math.min(limit, SHARED_SILENCE_LIMIT_MILLIS) : limit;
+  }
+
+  /** Returns the limit that does not depend on other requests at the upstream. */
+  private long ownSilenceLimitMillis() {
     if (!route.streamed()) {
       return TARGET_LIMIT_FACTOR * route.targetMillis();
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.crash.RequestTraits;
 import org.hibiscusreel.core.forward.AccountSettings;
@@ -19,6 +20,7 @@
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamSelector;
+import org.hibiscusreel.core.retry.RetryBudget;
 
 /** Serves one forwarded request: reservation, attempts, response and settlement. */
 final class ForwardTask implements Forwarder.Handle, ForwardAttempt.Owner {
@@ -220,10 +222,7 @@
                 s ->
                     forwarder.chooseUpstreamForSuspect(
                         service.name(), request.prompt(), triedUpstreams, s.placementKey()))
-            .orElseGet(
-                () ->
-                    forwarder.chooseUpstream(
-                        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis()));
+            .orElseGet(this::chooseUpstream);
     if (choice.isEmpty()) {
       releaseSuspect();
       endWithoutUpstream();
@@ -253,6 +252,11 @@
     attempt.start(outgoing);
   }
 
+  private Optional<UpstreamSelector.Choice> chooseUpstream() {
+    return forwarder.chooseUpstream(
+        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis());
+  }
+
   /** Returns how late the first event may be expected, which no longer matters once one came. */
   private long maxFirstEventMillis() {
     return streamBegun ? Long.MAX_VALUE : route.targetMillis();
@@ -344,7 +348,26 @@
     }
   }
 
+  @Override
+  public boolean canMove() {
+    return mayRetry(AttemptOutcome.SILENT, RetryBudget::hasRetry)
+        && (streamBegun || forwarder.crashes().isClear(this::traits))
+        && chooseUpstream().filter(this::isHealthy).isPresent();
+  }
+
+  private boolean isHealthy(UpstreamSelector.Choice choice) {
+    return !choice.candidate().load().isSuspended(forwarder.scheduler().nowMillis());
+  }
+
   private boolean retry(AttemptOutcome outcome) {
+    if (!mayRetry(outcome, RetryBudget::tryRetry)) {
+      return false;
+    }
+    dispatch();
+    return true;
+  }
+
+  private boolean mayRetry(AttemptOutcome outcome, Predicate<RetryBudget> hasBudget) {
     AttemptPolicy.State state =
         new AttemptPolicy.State(
             route.retryPolicy(),
@@ -352,12 +375,8 @@
             sentAttempts,
             unsentAttempts,
             remainingMillis());
-    if (!AttemptPolicy.mayRetry(
-        state, outcome, () -> forwarder.retryBudget(service.name()).tryRetry())) {
-      return false;
-    }
-    dispatch();
-    return true;
+    return AttemptPolicy.mayRetry(
+        state, outcome, () -> hasBudget.test(forwarder.retryBudget(service.name())));
   }
 
   private void recordAttemptResult(String result) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamCrashes.java
@@ -226,6 +226,12 @@
         && detector.judge(traits.get(), scheduler.nowMillis()) == Verdict.BLOCKED;
   }
 
+  /** Tells whether a request may be dispatched like any other, without admitting it. */
+  boolean isClear(Supplier<Set<String>> traits) {
+    return detector.isIdle()
+        || detector.judge(traits.get(), scheduler.nowMillis()) == Verdict.CLEAR;
+  }
+
   /** Tells whether the upstream is known to have ended. */
   boolean hasCrashed(UpstreamEntry upstream) {
     return detector.hasCrashed(toKey(upstream));
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -54,6 +54,7 @@
     final Listener listener;
     boolean cancelled;
     boolean paused;
+    boolean isBesideAnother;
 
     Sent(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
       this.upstream = upstream;
@@ -232,6 +233,7 @@
   @Override
   public Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
     Sent sentRequest = new Sent(upstream, request, listener);
+    sentRequest.isBesideAnother = sent.stream().anyMatch(s -> !s.cancelled);
     sent.add(sentRequest);
     return sentRequest;
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.RetryPolicy;
+import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -285,6 +286,168 @@
     assertThat(h.last().request.resumeAfter()).isEqualTo("1");
   }
 
+  /** Why a request can't go on at another upstream. */
+  private enum Obstacle {
+    NO_OTHER_UPSTREAM(1, 2),
+    NO_HEALTHY_UPSTREAM(2, 2),
+    NO_ATTEMPT_LEFT(2, 1),
+    NO_RETRY_LEFT(2, 2);
+
+    private final int upstreams;
+    private final int maxAttempts;
+
+    Obstacle(int upstreams, int maxAttempts) {
+      this.upstreams = upstreams;
+      this.maxAttempts = maxAttempts;
+    }
+
+    private ForwardHarness harness(RetryPolicy retryPolicy, boolean streamed) {
+      ForwardHarness h = new ForwardHarness(retryPolicy, streamed, maxAttempts, upstreams);
+      while (this == NO_RETRY_LEFT && h.forwarder.retryBudget("s").tryRetry()) {
+        assertThat(h.sent).isEmpty();
+      }
+      return h;
+    }
+
+    /** Lets the upstreams that have no request fail. */
+    private void apply(ForwardHarness h) {
+      if (this == NO_HEALTHY_UPSTREAM) {
+        String busy = h.last().upstream.id();
+        h.upstreams.usable("s", 0).stream()
+            .map(UpstreamEntry::id)
+            .filter(id -> !id.equals(busy))
+            .forEach(id -> failOften(h, id));
+      }
+    }
+
+    private static void failOften(ForwardHarness h, String upstreamId) {
+      for (int i = 0; i < 4; i++) {
+        h.forwarder.loads().ownLoad(upstreamId).onFailure(h.scheduler.nowMillis());
+      }
+    }
+  }
+
+  /** Guards against cutting a stream whose upstream is silent for a second and goes on. */
+  @ParameterizedTest
+  @EnumSource(Obstacle.class)
+  void keepsStreamAtSilentUpstreamUnlessItCanMove(Obstacle obstacle) {
+    ForwardHarness h = obstacle.harness(RetryPolicy.RESUMABLE, true);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    obstacle.apply(h);
+    h.scheduler.run(1_200);
+    assertThat(h.callerEvents).doesNotContain("abort");
+    h.last().event(2);
+    h.last().listener.onEnd();
+    assertThat(h.callerEvents).endsWith("id: 1", "id: 2", "end");
+    assertThat(h.sent).hasSize(1);
+  }
+
+  /** Guards against replacing the late response of a silent upstream by a failure. */
+  @ParameterizedTest
+  @EnumSource(Obstacle.class)
+  void keepsRepeatableRequestAtSilentUpstreamUnlessItCanMove(Obstacle obstacle) {
+    ForwardHarness h = obstacle.harness(RetryPolicy.REPEATABLE, false);
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    obstacle.apply(h);
+    h.scheduler.run(1_200);
+    h.last().respond(200, "late");
+    assertThat(h.callerEvents).containsExactly("200 late");
+    assertThat(h.sent).hasSize(1);
+  }
+
+  /** Guards against requests that end each other at an upstream that is silent for a second. */
+  @Test
+  void keepsRequestsThatWaitWhereAnotherOneIsSilent() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent waiting = h.last();
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent silent = h.last();
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    silent.head(200);
+    silent.event(1);
+    h.scheduler.run(1_200);
+    assertThat(silent.cancelled).isTrue();
+    assertThat(waiting.cancelled).isFalse();
+    assertThat(h.sent).hasSize(4);
+  }
+
+  /** Guards against requests that stay at an upstream that hangs and never goes on. */
+  @Test
+  void movesRequestsThatWaitForLongWhereAnotherOneIsSilent() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent waiting = h.last();
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent silent = h.last();
+    h.scheduler.run(700);
+    silent.head(200);
+    silent.event(1);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(1_150);
+    assertThat(silent.cancelled).isTrue();
+    assertThat(waiting.cancelled).isTrue();
+    assertThat(h.sent).hasSize(4);
+  }
+
+  /** Guards against a stream that stays where it is silent although it could go on by now. */
+  @Test
+  void movesSilentStreamAsSoonAsAnotherUpstreamIsThere() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    h.scheduler.run(1_000);
+    assertThat(h.sent).hasSize(1);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(ForwardAttempt.CHECK_INTERVAL_MILLIS);
+    assertThat(h.sent).hasSize(2);
+    assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+  }
+
+  /** Guards against two runs of one request at the same time. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void cancelsAttemptAtSilentUpstreamBeforeTheNextOne(boolean streamed) {
+    RetryPolicy policy = streamed ? RetryPolicy.RESUMABLE : RetryPolicy.REPEATABLE;
+    ForwardHarness h = new ForwardHarness(policy, streamed, 3, 3);
+    h.serve(ForwardHarness.prompt(100, 50));
+    if (streamed) {
+      h.last().head(200);
+      h.last().event(1);
+    }
+    h.scheduler.run(900);
+    assertThat(h.sent).hasSize(2);
+    assertThat(h.sent).noneMatch(s -> s.isBesideAnother);
+  }
+
+  /** Guards against retries that are used up by requests that stay where they are. */
+  @Test
+  void takesRetryOnlyWhenSilentRequestMoves() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    int used = 0;
+    while (h.forwarder.retryBudget("s").tryRetry()) {
+      used++;
+    }
+    int requests = 20;
+    for (int i = 0; i < requests; i++) {
+      h.serve(ForwardHarness.prompt(10, 5));
+      h.last().head(200);
+      h.last().event(1);
+    }
+    h.scheduler.run(1_000);
+    assertThat(h.sent).hasSize(requests);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(ForwardAttempt.CHECK_INTERVAL_MILLIS);
+    double halfOfSlack = 0.5 * 50;
+    int retries = (int) (0.7 * (halfOfSlack + 0.2 * requests)) - used;
+    assertThat(retries).isBetween(1, 4);
+    assertThat(h.sent).hasSize(requests + retries);
+  }
+
   /** Guards against treating an upstream as unresponsive while the caller reads slowly. */
   @Test
   void doesNotTimeOutTheUpstreamOfSlowCaller() {
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
@@ -14,6 +14,7 @@
   private long pendingPrefillTokens;
   private int failures;
   private long suspendedUntilMillis = Long.MIN_VALUE;
+  private long failedUntilMillis = Long.MIN_VALUE;
 
   /**
    * Records that a request was sent.
@@ -43,6 +44,7 @@
   public void onSuccess() {
     failures = 0;
     suspendedUntilMillis = Long.MIN_VALUE;
+    failedUntilMillis = Long.MIN_VALUE;
   }
 
   /**
@@ -51,13 +53,28 @@
    * @param nowMillis monotonic time in milliseconds
    */
   public void onFailure(long nowMillis) {
+    suspend(nowMillis);
+    failedUntilMillis = suspendedUntilMillis;
+  }
+
+  /**
+   * Records that the upstream sent nothing for a request for too long. It is suspended as after a
+   * failure, but a sound upstream may be silent for a second or so.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void onSilence(long nowMillis) {
+    suspend(nowMillis);
+  }
+
+  private void suspend(long nowMillis) {
     long suspensionMillis = FIRST_SUSPENSION_MILLIS << Math.min(failures, 10);
     failures++;
     suspendedUntilMillis = nowMillis + Math.min(MAX_SUSPENSION_MILLIS, suspensionMillis);
   }
 
   /**
-   * Tells whether the upstream is suspended after a failure.
+   * Tells whether the upstream is suspended after a failure or a silence.
    *
    * @param nowMillis monotonic time in milliseconds
    * @return true while other upstreams are preferred
@@ -66,6 +83,16 @@
     return nowMillis < suspendedUntilMillis;
   }
 
+  /**
+   * Tells whether the upstream is suspended after a failure, and not only after a silence.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return true if the upstream is probably not running
+   */
+  public boolean hasFailed(long nowMillis) {
+    return nowMillis < failedUntilMillis;
+  }
+
   /**
    * Returns the estimate of the prompt parts that the upstream has cached.
    *
--- a/core/src/main/java/org/hibiscusreel/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/hibiscusreel/core/retry/RetryBudget.java
@@ -36,13 +36,22 @@
     tokens = Math.min(burst, tokens + ratio);
   }
 
+  /**
+   * Tells whether a retry may be made, without taking a token.
+   *
+   * @return true if {@link #tryRetry} would return true
+   */
+  public boolean hasRetry() {
+    return tokens >= 1;
+  }
+
   /**
    * Takes a token for a retry.
    *
    * @return false if the budget is exhausted and the retry must not be made
    */
   public boolean tryRetry() {
-    if (tokens < 1) {
+    if (!hasRetry()) {
       return false;
     }
     tokens--;
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
@@ -37,5 +37,19 @@
     load.onFailure(0);
     load.onSuccess();
     assertThat(load.isSuspended(0)).isFalse();
+    assertThat(load.hasFailed(0)).isFalse();
+  }
+
+  /** Guards against taking an upstream that is silent for a second for one that has ended. */
+  @Test
+  void suspendsSilentUpstreamWithoutTakingItForFailed() {
+    load.onSilence(0);
+    assertThat(load.isSuspended(0)).isTrue();
+    assertThat(load.hasFailed(0)).isFalse();
+    load.onFailure(0);
+    assertThat(load.hasFailed(2 * UpstreamLoad.FIRST_SUSPENSION_MILLIS - 1)).isTrue();
+    load.onSilence(0);
+    assertThat(load.isSuspended(2 * UpstreamLoad.FIRST_SUSPENSION_MILLIS)).isTrue();
+    assertThat(load.hasFailed(2 * UpstreamLoad.FIRST_SUSPENSION_MILLIS)).isFalse();
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/retry/RetryBudgetTest.java
@@ -18,4 +18,14 @@
     assertThat(retries).isBetween(990, 1_010);
     assertThatThrownBy(() -> new RetryBudget(2, 1)).isInstanceOf(IllegalArgumentException.class);
   }
+
+  /** Guards against a question for a retry that takes the retry. */
+  @Test
+  void tellsWhetherRetryIsLeftWithoutTakingIt() {
+    RetryBudget budget = new RetryBudget(0, 1);
+    assertThat(budget.hasRetry()).isTrue();
+    assertThat(budget.hasRetry()).isTrue();
+    assertThat(budget.tryRetry()).isTrue();
+    assertThat(budget.hasRetry()).isFalse();
+  }
 }
