Answer requests whose next step throws

Callers whose request met an upstream with an address that can't be used got 500, or, if tokens had to be reserved first, neither an answer nor a refusal until they gave up.

Cause: building the request to the upstream throws. On the way from the caller's connection ActiveJ turned that into a 500 and the task stayed in progress; after a reservation, a wait or a failed attempt the exception was lost in a future or in the event loop. The timeout of the request did not help: cancelling the attempt that had no connection threw again, so that the task and its reservation never ended.

Now an attempt that can't be sent counts as not sent, so that another upstream is tried, and a step that throws ends the request: with a refusal that states "not run" only if no upstream may have run it. The stack trace is logged.

Before: refusesRequestThatCannotBeSent: NullPointerException: Cannot invoke "UpstreamTransport$Exchange.cancel()" because "this.exchange" is null triesAnotherUpstreamIfSendingThrows: IllegalArgumentException: scripted, and Expected size: 1 but was: 0 answersOnceIfStepAfterReservationThrows: Expecting actual: [] to contain exactly (and in same order): ["NOT_RUN"] doesNotStateNotRunIfRetryThrows: IllegalStateException: scripted refusesRequestWhoseUpstreamHasUnusableAddress: Expecting actual: "HTTP/1.1 500 Internal Server Error" to start with: "HTTP/1.1 503"

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -135,7 +135,13 @@
     forwarder.loads().scheduleReport();
     sentAtMillis = forwarder.scheduler().nowMillis();
     lastActivityAtMillis = sentAtMillis;
-    exchange = forwarder.transport().send(upstream, outgoing, this);
+    try {
+      exchange = forwarder.transport().send(upstream, outgoing, this);
+    } catch (RuntimeException e) {
+      // The upstream may have published an address that can't be used.
+      fail(AttemptOutcome.NOT_SENT, "can't be sent: " + e.getClass().getSimpleName());
+      return;
+    }
     scheduleSilenceCheck();
   }
 
@@ -148,7 +154,9 @@
   void cancel() {
     if (!ended) {
       finish();
-      exchange.cancel();
+      if (exchange != null) {
+        exchange.cancel();
+      }
     }
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -1,5 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -50,6 +52,7 @@
    */
   static final long CRASH_CHECK_MILLIS = 150;
 
+  private static final Logger LOGGER = System.getLogger(ForwardTask.class.getName());
   private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
   private static final int STATUS_SERVER_ERROR = 500;
 
@@ -104,6 +107,24 @@
 
   void start() {
     timer = forwarder.scheduler().schedule(remainingMillis(), this::onTimeout);
+    runStep(this::begin);
+  }
+
+  /**
+   * Runs a step of the request and ends the request if the step throws. No later event would end
+   * it, and its caller would get no answer.
+   */
+  private void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOGGER.log(Level.ERROR, "request " + request.id() + " failed", e);
+      cancelAttempt("internal error");
+      endUnserved("internal error: " + e.getClass().getSimpleName());
+    }
+  }
+
+  private void begin() {
     forwarder.retryBudget(service.name()).onRequest();
     request.prompt().ifPresent(p -> forwarder.promptSizes(service.name()).add(p.promptTokens()));
     if (forwarder.crashes().isBlocked(this::traits)) {
@@ -172,9 +193,12 @@
   }
 
   private void dispatch() {
-    if (ended) {
-      return;
+    if (!ended) {
+      runStep(this::admitAndSend);
     }
+  }
+
+  private void admitAndSend() {
     // A request whose stream has begun does not crash upstreams.
     UpstreamCrashes.Admission admission =
         streamBegun
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -84,6 +84,7 @@
    * @param request the request
    * @param listener receives the response, never before this method has returned
    * @return the request in progress
+   * @throws RuntimeException if the request can't be sent to this upstream; nothing was sent
    */
   Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener);
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
@@ -43,6 +44,8 @@
   final Forwarder forwarder;
   Refusal refusal;
   boolean callerAcceptsMore = true;
+  Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
+  Runnable onUpstreamsRead = () -> {};
   ForwardingTable current;
   long configurationAgeMillis;
   long configurationLagMillis;
@@ -232,6 +235,9 @@
 
   @Override
   public Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
+    if (cannotBeSentTo.test(upstream)) {
+      throw new IllegalArgumentException("scripted");
+    }
     Sent sentRequest = new Sent(upstream, request, listener);
     sentRequest.isBesideAnother = sent.stream().anyMatch(s -> !s.cancelled);
     sent.add(sentRequest);
@@ -245,6 +251,7 @@
 
   @Override
   public UpstreamCatalog upstreams() {
+    onUpstreamsRead.run();
     return upstreams;
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -188,6 +188,58 @@
     assertThat(h.sent.get(0).cancelled).isTrue();
   }
 
+  /** Guards against a request without an answer if sending it to an upstream throws. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void triesAnotherUpstreamIfSendingThrows(boolean reservesTokens) {
+    ForwardHarness h = plain(RetryPolicy.ONCE, 1);
+    h.cannotBeSentTo = u -> u.id().equals("u0");
+    h.serve(reservesTokens ? ForwardHarness.prompt(100, 50) : ForwardHarness.plain("/a/x", "key"));
+    assertThat(h.sent).hasSize(1);
+    h.last().respond(200, "fine");
+    assertThat(h.callerEvents).containsExactly("200 fine");
+  }
+
+  /** Guards against a request without an answer if it can't be sent to any upstream. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void refusesRequestThatCannotBeSent(boolean reservesTokens) {
+    ForwardHarness h = plain(RetryPolicy.ONCE, 1);
+    h.cannotBeSentTo = u -> true;
+    h.serve(reservesTokens ? ForwardHarness.prompt(100, 50) : ForwardHarness.plain("/a/x", "key"));
+    h.scheduler.run(ForwardHarness.TIMEOUT_MILLIS);
+    assertThat(h.callerEvents).containsExactly("NOT_RUN");
+    assertThat(h.forwarder.inProgress()).isZero();
+    assertThat(!reservesTokens || spentAfterStop(h) == 0).isTrue();
+  }
+
+  /** Guards against a request that nothing ends after an exception in a later step. */
+  @Test
+  void answersOnceIfStepAfterReservationThrows() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    h.onUpstreamsRead = ForwarderTest::throwScripted;
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.scheduler.run(100);
+    assertThat(h.callerEvents).containsExactly("NOT_RUN");
+    assertThat(h.forwarder.inProgress()).isZero();
+    assertThat(spentAfterStop(h)).isZero();
+  }
+
+  /** Guards against stating "not run" if the retry of a request that may have run throws. */
+  @Test
+  void doesNotStateNotRunIfRetryThrows() {
+    ForwardHarness h = plain(RetryPolicy.REPEATABLE, 2);
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    h.onUpstreamsRead = ForwarderTest::throwScripted;
+    h.last().fail(AttemptOutcome.BROKEN);
+    assertThat(h.callerEvents).containsExactly("FAILED");
+    assertThat(h.forwarder.inProgress()).isZero();
+  }
+
+  private static void throwScripted() {
+    throw new IllegalStateException("scripted");
+  }
+
   /** Guards against a response that is delayed beyond the timeout of the route. */
   @Test
   void respondsAtTheTimeoutOfTheRoute() {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -47,6 +47,8 @@
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the server over real sockets with a scripted upstream. */
 class ForwardServerTest {
@@ -59,6 +61,7 @@
   private RawServer upstream;
   private ForwardServer server;
   private volatile boolean isReady = true;
+  private Optional<String> upstreamAddress = Optional.empty();
   private final CountedTraffic callerTraffic = new CountedTraffic();
   private final CountedTraffic upstreamTraffic = new CountedTraffic();
 
@@ -139,7 +142,8 @@
             Map.of("key", "a"));
 
     Fleet() {
-      catalog.put(new UpstreamEntry("u", "s", upstream.address(), "d", false, 1, 0));
+      String address = upstreamAddress.orElseGet(upstream::address);
+      catalog.put(new UpstreamEntry("u", "s", address, "d", false, 1, 0));
     }
 
     private static Route route(String prefix, boolean streamed) {
@@ -289,6 +293,20 @@
     }
   }
 
+  /** Guards against a response that is neither the upstream's nor a refusal. */
+  @ParameterizedTest
+  @ValueSource(strings = {"127.0.0.1:70000", "127.0.0.1:x", "127.0.0.1:"})
+  void refusesRequestWhoseUpstreamHasUnusableAddress(String address) throws Exception {
+    upstreamAddress = Optional.of(address);
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      BufferedReader in =
+          new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
+      assertThat(in.readLine()).startsWith("HTTP/1.1 503");
+    }
+  }
+
   /** Guards against traffic that the measurement of the link misses. */
   @Test
   void countsTrafficWithCallersAndUpstreams() throws Exception {
