Refuse requests that arrive before the previous response

A caller that sent a second request on a kept connection while the first one was in progress got no answer to it: the bytes were dropped and the connection closed after the first response. An empty line after a request did the same to the next request on the connection, and the caller's own disconnect was no longer noticed, so that the upstream went on working.

Cause: to detect callers that disconnect, the server reads the connection while a request is in progress. What it reads can't be given back to ActiveJ; it was taken for something that the caller repeats.

Now such a request is refused with a response that states "not run", then the connection ends; empty lines are passed over, and reading goes on, so that the disconnect is noticed and no unread bytes make the system reset the connection before the caller has read its response. Another request on a connection that is being closed gets the same refusal instead of 400.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -10,6 +10,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
@@ -37,6 +38,9 @@
   /** Largest request body that is read, in bytes; the configuration may set a lower limit. */
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+  private static final Refusal CLOSING =
+      new Refusal(Refusal.Kind.NOT_RUN, 0, "the connection is being closed");
+
   private final Forwarder forwarder;
   private final CallerDialect dialect;
   private final BooleanSupplier isReady;
@@ -68,7 +72,7 @@
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
     this.isReady = Objects.requireNonNull(isReady, "isReady");
-    this.connections = new CallerConnections(scheduler, reactor, traffic);
+    this.connections = new CallerConnections(scheduler, reactor, traffic, this::pipelinedRefusal);
     AsyncServlet servlet = this::serve;
     this.server =
         HttpServer.builder(reactor, servlet)
@@ -121,7 +125,11 @@
     CallerConnections.TrackedConnection connection = connections.connectionOf(request);
     CallerResponseWriter answer =
         new CallerResponseWriter(dialect, connection, () -> stopping || !isReady.getAsBoolean());
-    if (connection.isClosing() || hasAmbiguousLength(request)) {
+    if (connection.isClosing()) {
+      answer.refuse(CLOSING);
+      return answer.response();
+    }
+    if (hasAmbiguousLength(request)) {
       answer.refuse(new Refusal(Refusal.Kind.MALFORMED, 0, "two lengths of the body"));
       connection.closeAfterDelay();
       return answer.response();
@@ -136,6 +144,14 @@
             });
   }
 
+  private byte[] pipelinedRefusal() {
+    CallerDialect.RefusalResponse refusal = dialect.write(CLOSING);
+    StringBuilder text = new StringBuilder("HTTP/1.1 " + refusal.status() + " Not Served\r\n");
+    refusal.fields().forEach(f -> text.append(f.name() + ": " + f.value() + "\r\n"));
+    text.append("Content-Length: 0\r\nConnection: close\r\n\r\n");
+    return text.toString().getBytes(StandardCharsets.US_ASCII);
+  }
+
   /**
    * Tells whether a request has both a {@code Content-Length} and a {@code Transfer-Encoding},
    * which allows request smuggling.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -15,6 +15,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
 
@@ -42,6 +43,7 @@
   private final Scheduler scheduler;
   private final CurrentTimeProvider loopTime;
   private final TrafficListener traffic;
+  private final Supplier<byte[]> pipelinedRefusal;
   private final IdentityHashMap<HttpServerConnection, TrackedConnection> entries =
       new IdentityHashMap<>();
   private Cancellable timer;
@@ -57,7 +59,7 @@
    * @throws NullPointerException if an argument is null
    */
   public CallerConnections(Scheduler scheduler, CurrentTimeProvider loopTime) {
-    this(scheduler, loopTime, TrafficListener.NONE);
+    this(scheduler, loopTime, TrafficListener.NONE, () -> new byte[0]);
   }
 
   /**
@@ -67,13 +69,19 @@
    * @param loopTime time of the event loop, from which ActiveJ takes the timestamps of its
    *     connections
    * @param traffic receives the number of bytes sent and received
+   * @param pipelinedRefusal supplies the bytes of a response for a request that arrived before the
+   *     previous response was sent and is not served; empty to close the connection without one
    * @throws NullPointerException if an argument is null
    */
   public CallerConnections(
-      Scheduler scheduler, CurrentTimeProvider loopTime, TrafficListener traffic) {
+      Scheduler scheduler,
+      CurrentTimeProvider loopTime,
+      TrafficListener traffic,
+      Supplier<byte[]> pipelinedRefusal) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
     this.traffic = Objects.requireNonNull(traffic, "traffic");
+    this.pipelinedRefusal = Objects.requireNonNull(pipelinedRefusal, "pipelinedRefusal");
   }
 
   /** One tracked connection. */
@@ -149,14 +157,46 @@
                   notifyDisconnected();
                   socket.close();
                 } else {
-                  // A pipelined request; the caller repeats it after the connection was closed.
+                  // A pipelined request, which can't be given back to ActiveJ.
+                  hasPipelined |= !isEmptyLine(buf);
                   buf.recycle();
-                  hasPipelined = true;
+                  detectDisconnect();
                 }
               })
           .whenException(e -> notifyDisconnected());
     }
 
+    /** Tells whether there are only line ends, which may precede a request. */
+    private static boolean isEmptyLine(ByteBuf buf) {
+      for (int i = 0; i < buf.readRemaining(); i++) {
+        byte b = buf.peek(i);
+        if (b != '\r' && b != '\n') {
+          return false;
+        }
+      }
+      return true;
+    }
+
+    /** Refuses the pipelined request, so that its caller knows that it will not run, and closes. */
+    private void refusePipelined() {
+      byte[] refusal = pipelinedRefusal.get();
+      if (refusal.length == 0 || socket.isClosed()) {
+        close();
+        return;
+      }
+      socket.write(ByteBuf.wrapForReading(refusal)).whenResult(this::shutDownOutput);
+      closeAfterDelay();
+    }
+
+    /** Sends the end of the stream, so that no further response can follow. */
+    private void shutDownOutput() {
+      try {
+        socket.getSocketChannel().shutdownOutput();
+      } catch (IOException e) {
+        close();
+      }
+    }
+
     private void notifyDisconnected() {
       Runnable task = disconnectTask;
       disconnectTask = null;
@@ -274,7 +314,7 @@
       e.isStreamed = false;
       e.disconnectTask = null;
       if (e.hasPipelined) {
-        e.close();
+        e.refusePipelined();
       }
     }
 
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -307,6 +307,76 @@
     }
   }
 
+  /** Guards against a request that was read and gets neither an answer nor a refusal. */
+  @Test
+  void refusesRequestThatArrivesBeforeThePreviousResponse() throws Exception {
+    CountDownLatch sentBoth = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          assertThat(sentBoth.await(5, TimeUnit.SECONDS)).isTrue();
+          Thread.sleep(100);
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      while (upstream.requestLines().isEmpty()) {
+        Thread.sleep(10);
+      }
+      send(s, request("/plain/y"));
+      Thread.sleep(50);
+      send(s, request("/plain/z"));
+      sentBoth.countDown();
+      String text = readAll(s);
+      assertThat(text).startsWith("HTTP/1.1 200").contains("helloHTTP/1.1 503");
+      assertThat(text.split("HTTP/1.1", -1)).hasSize(3);
+      assertThat(upstream.requestLines()).hasSize(1);
+    }
+  }
+
+  /** Guards against a kept connection that an empty line between two requests closes. */
+  @Test
+  void servesNextRequestAfterEmptyLine() throws Exception {
+    start(
+        (line, socket, out) -> {
+          Thread.sleep(200);
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    try (Socket s = connect()) {
+      for (int i = 0; i < 2; i++) {
+        send(s, request("/plain/x"));
+        Thread.sleep(100);
+        send(s, "\r\n");
+        StringBuilder text = new StringBuilder();
+        while (!text.toString().endsWith("hello")) {
+          int c = s.getInputStream().read();
+          assertThat(c).isNotNegative();
+          text.append((char) c);
+        }
+      }
+    }
+  }
+
+  /** Guards against upstreams that keep working after such a caller disconnected. */
+  @Test
+  void cancelsUpstreamRequestWhenCallerWithTwoRequestsDisconnects() throws Exception {
+    CountDownLatch dropped = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          if (socket.getInputStream().read() < 0) {
+            dropped.countDown();
+          }
+        });
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      while (upstream.requestLines().isEmpty()) {
+        Thread.sleep(10);
+      }
+      send(s, request("/plain/y"));
+      Thread.sleep(100);
+    }
+    assertThat(dropped.await(2, TimeUnit.SECONDS)).isTrue();
+  }
+
   /** Guards against traffic that the measurement of the link misses. */
   @Test
   void countsTrafficWithCallersAndUpstreams() throws Exception {
