Test that each request is answered once while the configuration changes

Random requests, responses, failures, silences, outages of the store, and changes of routes, accounts, prepaid tokens and upstreams on virtual time. Each request must end in exactly one answer, whatever it waits for at that moment.

--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -2,9 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.CallerLimits;
+import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
@@ -594,4 +602,92 @@
         .containsKeys("upstreams_age_ms", "deadline_ms", "took_ms");
     assertThat((List<?>) h.logLines.get(0).get("attempts")).hasSize(2);
   }
+
+  /**
+   * Guards against requests that wait while the configuration changes and get no answer, or two.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void answersEachRequestOnceWhileConfigurationAndUpstreamsChange(long seed) {
+    Random random = new Random(seed);
+    boolean streamed = random.nextBoolean();
+    RetryPolicy repeatable = streamed ? RetryPolicy.RESUMABLE : RetryPolicy.REPEATABLE;
+    RetryPolicy policy = random.nextInt(3) == 0 ? RetryPolicy.ONCE : repeatable;
+    ForwardHarness h = new ForwardHarness(policy, streamed, 2, 3);
+    h.crashes.start();
+    final ForwardingTable first = h.current;
+    Set<ForwardHarness.Sent> ended = new HashSet<>();
+    int served = 0;
+    for (int i = 0; i < 600; i++) {
+      switch (random.nextInt(8)) {
+        case 0 -> h.current = random.nextBoolean() ? first : withoutRoutes(first);
+        case 1 -> h.table.isDown = random.nextInt(4) == 0;
+        case 2 -> changeUpstream(h, "u" + random.nextInt(3), random.nextBoolean());
+        case 3 -> {
+          long prepaid = random.nextInt(2 * (int) ForwardHarness.PREPAID_TOKENS);
+          h.budgets.updateAccounts(
+              List.of(
+                  new AccountSettings(
+                      ForwardHarness.ACCOUNT, OptionalInt.empty(), OptionalLong.of(prepaid))));
+        }
+        case 4, 5 -> {
+          served++;
+          boolean prompted = streamed || random.nextBoolean();
+          h.serve(
+              prompted
+                  ? ForwardHarness.smallPrompt("p" + random.nextInt(3), "own" + i)
+                  : ForwardHarness.plain("/a/x", "key"));
+        }
+        default ->
+            h.sent.stream()
+                .filter(s -> !s.cancelled && !ended.contains(s))
+                .skip(random.nextInt(3))
+                .findFirst()
+                .ifPresent(s -> answer(s, random, ended));
+      }
+      h.scheduler.run(random.nextInt(60));
+    }
+    h.scheduler.run(6_000);
+    assertThat(h.callerEvents.stream().filter(ForwarderTest::isLast)).hasSize(served);
+    assertThat(h.forwarder.inProgress()).isZero();
+  }
+
+  private static boolean isLast(String callerEvent) {
+    return !callerEvent.startsWith("begin") && !callerEvent.startsWith("id:");
+  }
+
+  private static ForwardingTable withoutRoutes(ForwardingTable t) {
+    return new ForwardingTable(
+        t.version() + 1, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
+  }
+
+  private static void changeUpstream(ForwardHarness h, String id, boolean isThere) {
+    if (isThere) {
+      h.upstreams.put(new UpstreamEntry(id, "s", "127.0.0.1:1", "here", false, 4, 0));
+    } else {
+      h.upstreams.remove(id, h.scheduler.nowMillis());
+      h.forwarder.loads().onUpstreamsRemoved(List.of(id));
+    }
+  }
+
+  private static void answer(
+      ForwardHarness.Sent sent, Random random, Set<ForwardHarness.Sent> ended) {
+    int choice = random.nextInt(6);
+    if (choice < 2) {
+      sent.head(200);
+      sent.event(1 + random.nextInt(3));
+      return;
+    }
+    ended.add(sent);
+    if (choice == 2) {
+      sent.head(200);
+      sent.listener.onEnd();
+    } else if (choice == 3) {
+      sent.respond(500, "failed");
+    } else {
+      AttemptOutcome[] outcomes = AttemptOutcome.values();
+      sent.head(200);
+      sent.fail(outcomes[random.nextInt(outcomes.length)]);
+    }
+  }
 }
