Shorten the limit of a shared silence to 1.2 s

Requests that wait for their first event at an upstream that is dark stayed there too long. They move only if they can go on elsewhere, so that the shorter limit ends no answer.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -35,7 +35,7 @@
    * Longest time in milliseconds without bytes from an upstream that is silent for other requests
    * too. A sound upstream may be silent for a second or so.
    */
-  static final long SHARED_SILENCE_LIMIT_MILLIS = 1_600;
+  static final long SHARED_SILENCE_LIMIT_MILLIS = 1_200;
 
   /**
    * A stream is moved to another upstream after a pause of this many times the route's longest
