--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -325,12 +325,16 @@
       scheduleSilenceCheck();
       return;
     }
+    boolean canMove = owner.canMove();
     if (!isSilenceRecorded) {
       isSilenceRecorded = true;
       load.onSilence(now);
+      Map<String, Object> line =
+          Map.of("upstream", upstream.id(), "silent_ms", silentMillis, "can_move", canMove);
+      forwarder.log().record("upstream_silent", line);
     }
     // A sound upstream may go on after a silence, so a request that can't go on elsewhere waits.
-    if (owner.canMove()) {
+    if (canMove) {
       exchange.cancel();
       fail(AttemptOutcome.SILENT, "no bytes for " + silentMillis + " ms");
     } else {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -404,6 +404,22 @@
     assertThat(h.sent).hasSize(1);
   }
 
+  /** Guards against silences that the log does not show because their requests go on. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2})
+  void logsSilenceAndWhetherRequestCouldMove(int upstreams) {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, upstreams);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    h.scheduler.run(1_200);
+    assertThat(h.logLines).hasSize(1);
+    assertThat(h.logLines.get(0))
+        .containsEntry("upstream", "u0")
+        .containsEntry("can_move", upstreams > 1)
+        .containsKey("silent_ms");
+  }
+
   /** Guards against replacing the late response of a silent upstream by a failure. */
   @ParameterizedTest
   @EnumSource(Obstacle.class)
