--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -346,12 +347,7 @@
         send(s, request("/plain/x"));
         Thread.sleep(100);
         send(s, "\r\n");
-        StringBuilder text = new StringBuilder();
-        while (!text.toString().endsWith("hello")) {
-          int c = s.getInputStream().read();
-          assertThat(c).isNotNegative();
-          text.append((char) c);
-        }
+        readUntil(s, "hello");
       }
     }
   }
@@ -377,6 +373,60 @@
     assertThat(dropped.await(2, TimeUnit.SECONDS)).isTrue();
   }
 
+  /** Guards against a request that crosses the announcement of a close and gets no answer. */
+  @Test
+  void answersRequestOnConnectionWhoseCloseWasAnnounced() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    isReady = false;
+    try (Socket s = connect()) {
+      for (int i = 0; i < 3; i++) {
+        send(s, request("/plain/x"));
+        assertThat(readUntil(s, "hello")).containsIgnoringCase("\r\nConnection: close\r\n");
+      }
+    }
+  }
+
+  /** Guards against kept connections that a stop closes while their requests are in progress. */
+  @Test
+  void answersRequestsInProgressOnKeptConnectionsWhenItStops() throws Exception {
+    CountDownLatch stopping = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          if (line.contains("slow")) {
+            assertThat(stopping.await(5, TimeUnit.SECONDS)).isTrue();
+            Thread.sleep(200);
+          }
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    List<Socket> callers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Socket s = connect();
+      callers.add(s);
+      send(s, request("/plain/x"));
+      readUntil(s, "hello");
+      send(s, request("/plain/slow"));
+    }
+    while (upstream.requestLines().size() < 2 * callers.size()) {
+      Thread.sleep(10);
+    }
+    loop.run(() -> assertThat(server.stop()).isNotNull());
+    stopping.countDown();
+    for (Socket s : callers) {
+      assertThat(readAll(s)).startsWith("HTTP/1.1 200").endsWith("hello");
+      s.close();
+    }
+  }
+
+  private static String readUntil(Socket socket, String end) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().endsWith(end)) {
+      int c = socket.getInputStream().read();
+      assertThat(c).as("after %s", text).isNotNegative();
+      text.append((char) c);
+    }
+    return text.toString();
+  }
+
   /** Guards against traffic that the measurement of the link misses. */
   @Test
   void countsTrafficWithCallersAndUpstreams() throws Exception {
