Take no second retry after one that opened no connection

Callers whose stream left a silent upstream saw it cut if the next upstream opened no connection, although attempts, time and other upstreams were left.

Cause: the attempt without a connection charged the retry budget again, though the retry that had been taken for it reached no upstream.

Now the retry that was taken covers the next attempt. The number of attempts without a connection stays bounded by four, and a service gets no more arrivals than before for each retry taken.

Before: movesStreamOnIfTheNextUpstreamOpensNoConnection: Expecting [..., "begin 200 u0", "id: 1", "abort"] not to contain ["abort"] takesNoFurtherRetryAfterOneThatOpenedNoConnection: Expecting value to be true but was false

--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -404,6 +404,30 @@
     assertThat(h.sent).hasSize(1);
   }
 
+  /** Guards against cutting a stream whose only retry opened no connection. */
+  @Test
+  void movesStreamOnIfTheNextUpstreamOpensNoConnection() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 3);
+    while (h.forwarder.retryBudget("s").tryRetry()) {
+      assertThat(h.sent).isEmpty();
+    }
+    for (int i = 0; i < 4; i++) {
+      h.serve(ForwardHarness.prompt(10, 5));
+      h.last().head(200);
+      h.last().event(1);
+      if (i < 3) {
+        h.last().listener.onEnd();
+      }
+    }
+    h.scheduler.run(900);
+    assertThat(h.sent).hasSize(5);
+    assertThat(h.forwarder.retryBudget("s").hasRetry()).isFalse();
+    h.last().fail(AttemptOutcome.NOT_SENT);
+    assertThat(h.callerEvents).doesNotContain("abort");
+    assertThat(h.sent).hasSize(6);
+    assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+  }
+
   /** Guards against silences that the log does not show because their requests go on. */
   @ParameterizedTest
   @ValueSource(ints = {1, 2})
--- a/core/src/main/java/org/hibiscusreel/core/forward/AttemptPolicy.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/AttemptPolicy.java
@@ -34,7 +34,7 @@
    * @param state state of the request
    * @param outcome outcome of the last attempt
    * @param retryBudget takes one retry from the retry budget of the service and returns false if it
-   *     is exhausted; called last, and only if an upstream has already received the request
+   *     is exhausted; called last, and only if an upstream received the last attempt
    * @return true to try another upstream
    */
   public static boolean mayRetry(State state, AttemptOutcome outcome, BooleanSupplier retryBudget) {
@@ -42,8 +42,8 @@
       return false;
     }
     if (outcome == AttemptOutcome.NOT_SENT) {
-      return state.unsent() < MAX_UNSENT_ATTEMPTS
-          && (state.sent() == 0 || retryBudget.getAsBoolean());
+      // A retry that was taken for this attempt has reached no upstream and covers the next one.
+      return state.unsent() < MAX_UNSENT_ATTEMPTS;
     }
     if (outcome.mayHaveRun() && !state.retryPolicy().mayRunAgain()) {
       return false;
--- a/core/src/test/java/org/hibiscusreel/core/forward/AttemptPolicyTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/AttemptPolicyTest.java
@@ -64,4 +64,11 @@
     State second = new State(RetryPolicy.REPEATABLE, 2, 1, 0, 1_000);
     assertThat(AttemptPolicy.mayRetry(second, AttemptOutcome.BROKEN, () -> false)).isFalse();
   }
+
+  /** Guards against two retries taken from the budget of which only one reaches an upstream. */
+  @Test
+  void takesNoFurtherRetryAfterOneThatOpenedNoConnection() {
+    State retried = new State(RetryPolicy.REPEATABLE, 2, 1, 1, 1_000);
+    assertThat(AttemptPolicy.mayRetry(retried, AttemptOutcome.NOT_SENT, () -> false)).isTrue();
+  }
 }
