Let the event loop count its bytes before a test reads the counters

ActiveJ reports bytes after the system call that writes them, so the caller can have read the response before the loop counts it; the test read the counter from its own thread at that moment. It now lets the loop finish the step first. The assertions and their values are unchanged.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -438,6 +438,8 @@
       while (!text.toString().endsWith("hello")) {
         text.append((char) s.getInputStream().read());
       }
+      // The loop counts the bytes after it has written them, so let it finish that step.
+      loop.run(() -> {});
       assertThat(callerTraffic.received).hasValue(request.length());
       assertThat(callerTraffic.sent).hasValue(text.length());
       assertThat(upstreamTraffic.received).hasValueGreaterThan("hello".length());
