--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -1,5 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -7,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.crash.RequestTraits;
 import org.hibiscusreel.core.forward.AccountSettings;
@@ -19,6 +22,7 @@
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamSelector;
+import org.hibiscusreel.core.retry.RetryBudget;
 
 /** Serves one forwarded request: reservation, attempts, response and settlement. */
 final class ForwardTask implements Forwarder.Handle, ForwardAttempt.Owner {
@@ -48,6 +52,7 @@
    */
   static final long CRASH_CHECK_MILLIS = 150;
 
+  private static final Logger LOGGER = System.getLogger(ForwardTask.class.getName());
   private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
   private static final int STATUS_SERVER_ERROR = 500;
 
@@ -101,6 +106,24 @@
 
   void start() {
     timer = forwarder.scheduler().schedule(remainingMillis(), this::onTimeout);
+    runStep(this::begin);
+  }
+
+  /**
+   * Runs a step of the request and ends the request if the step throws. No later event would end
+   * it, and its caller would get no answer.
+   */
+  private void runStep(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOGGER.log(Level.ERROR, "request " + request.id() + " failed", e);
+      cancelAttempt("internal error");
+      endUnserved("internal error: " + e.getClass().getSimpleName());
+    }
+  }
+
+  private void begin() {
     forwarder.retryBudget(service.name()).onRequest();
     request.prompt().ifPresent(p -> forwarder.promptSizes(service.name()).add(p.promptTokens()));
     if (forwarder.crashes().isBlocked(this::traits)) {
@@ -169,9 +192,12 @@
   }
 
   private void dispatch() {
-    if (ended) {
-      return;
+    if (!ended) {
+      runStep(this::admitAndSend);
     }
+  }
+
+  private void admitAndSend() {
     // A request whose stream has begun does not crash upstreams.
     UpstreamCrashes.Admission admission =
         streamPosition.isPresent()
@@ -219,10 +245,7 @@
                 s ->
                     forwarder.chooseUpstreamForSuspect(
                         service.name(), request.prompt(), triedUpstreams, s.placementKey()))
-            .orElseGet(
-                () ->
-                    forwarder.chooseUpstream(
-                        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis()));
+            .orElseGet(this::chooseUpstream);
     if (choice.isEmpty()) {
       releaseSuspect();
       endWithoutUpstream();
@@ -253,6 +276,11 @@
     attempt.start(outgoing);
   }
 
+  private Optional<UpstreamSelector.Choice> chooseUpstream() {
+    return forwarder.chooseUpstream(
+        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis());
+  }
+
   /** Returns how late the first event may be expected, which no longer matters once one came. */
   private long maxFirstEventMillis() {
     return streamPosition.isPresent() ? Long.MAX_VALUE : route.targetMillis();
@@ -345,7 +373,26 @@
     }
   }
 
+  @Override
+  public boolean canMove() {
+    return mayRetry(AttemptOutcome.SILENT, RetryBudget::hasRetry)
+        && (streamPosition.isPresent() || forwarder.crashes().isClear(this::traits))
+        && chooseUpstream().filter(this::isHealthy).isPresent();
+  }
+
+  private boolean isHealthy(UpstreamSelector.Choice choice) {
+    return !choice.candidate().load().isSuspended(forwarder.scheduler().nowMillis());
+  }
+
   private boolean retry(AttemptOutcome outcome) {
+    if (!mayRetry(outcome, RetryBudget::tryRetry)) {
+      return false;
+    }
+    dispatch();
+    return true;
+  }
+
+  private boolean mayRetry(AttemptOutcome outcome, Predicate<RetryBudget> hasBudget) {
     if (streamPosition.filter(p -> !p.isResumable()).isPresent()) {
       return false;
     }
@@ -356,12 +403,8 @@
             sentAttempts,
             unsentAttempts,
             remainingMillis());
-    if (!AttemptPolicy.mayRetry(
-        state, outcome, () -> forwarder.retryBudget(service.name()).tryRetry())) {
-      return false;
-    }
-    dispatch();
-    return true;
+    return AttemptPolicy.mayRetry(
+        state, outcome, () -> hasBudget.test(forwarder.retryBudget(service.name())));
   }
 
   private void recordAttemptResult(String result) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -2,11 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.CallerLimits;
+import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.RetryPolicy;
+import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -188,6 +197,58 @@
     assertThat(h.sent.get(0).cancelled).isTrue();
   }
 
+  /** Guards against a request without an answer if sending it to an upstream throws. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void triesAnotherUpstreamIfSendingThrows(boolean reservesTokens) {
+    ForwardHarness h = plain(RetryPolicy.ONCE, 1);
+    h.cannotBeSentTo = u -> u.id().equals("u0");
+    h.serve(reservesTokens ? ForwardHarness.prompt(100, 50) : ForwardHarness.plain("/a/x", "key"));
+    assertThat(h.sent).hasSize(1);
+    h.last().respond(200, "fine");
+    assertThat(h.callerEvents).containsExactly("200 fine");
+  }
+
+  /** Guards against a request without an answer if it can't be sent to any upstream. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void refusesRequestThatCannotBeSent(boolean reservesTokens) {
+    ForwardHarness h = plain(RetryPolicy.ONCE, 1);
+    h.cannotBeSentTo = u -> true;
+    h.serve(reservesTokens ? ForwardHarness.prompt(100, 50) : ForwardHarness.plain("/a/x", "key"));
+    h.scheduler.run(ForwardHarness.TIMEOUT_MILLIS);
+    assertThat(h.callerEvents).containsExactly("NOT_RUN");
+    assertThat(h.forwarder.inProgress()).isZero();
+    assertThat(!reservesTokens || spentAfterStop(h) == 0).isTrue();
+  }
+
+  /** Guards against a request that nothing ends after an exception in a later step. */
+  @Test
+  void answersOnceIfStepAfterReservationThrows() {
+    ForwardHarness h = stream(RetryPolicy.ONCE);
+    h.onUpstreamsRead = ForwarderTest::throwScripted;
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.scheduler.run(100);
+    assertThat(h.callerEvents).containsExactly("NOT_RUN");
+    assertThat(h.forwarder.inProgress()).isZero();
+    assertThat(spentAfterStop(h)).isZero();
+  }
+
+  /** Guards against stating "not run" if the retry of a request that may have run throws. */
+  @Test
+  void doesNotStateNotRunIfRetryThrows() {
+    ForwardHarness h = plain(RetryPolicy.REPEATABLE, 2);
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    h.onUpstreamsRead = ForwarderTest::throwScripted;
+    h.last().fail(AttemptOutcome.BROKEN);
+    assertThat(h.callerEvents).containsExactly("FAILED");
+    assertThat(h.forwarder.inProgress()).isZero();
+  }
+
+  private static void throwScripted() {
+    throw new IllegalStateException("scripted");
+  }
+
   /** Guards against a response that is delayed beyond the timeout of the route. */
   @Test
   void respondsAtTheTimeoutOfTheRoute() {
@@ -286,6 +347,208 @@
     assertThat(h.last().request.resumeAfter()).isEqualTo("1");
   }
 
+  /** Why a request can't go on at another upstream. */
+  private enum Obstacle {
+    NO_OTHER_UPSTREAM(1, 2),
+    NO_HEALTHY_UPSTREAM(2, 2),
+    NO_ATTEMPT_LEFT(2, 1),
+    NO_RETRY_LEFT(2, 2);
+
+    private final int upstreams;
+    private final int maxAttempts;
+
+    Obstacle(int upstreams, int maxAttempts) {
+      this.upstreams = upstreams;
+      this.maxAttempts = maxAttempts;
+    }
+
+    private ForwardHarness harness(RetryPolicy retryPolicy, boolean streamed) {
+      ForwardHarness h = new ForwardHarness(retryPolicy, streamed, maxAttempts, upstreams);
+      while (this == NO_RETRY_LEFT && h.forwarder.retryBudget("s").tryRetry()) {
+        assertThat(h.sent).isEmpty();
+      }
+      return h;
+    }
+
+    /** Lets the upstreams that have no request fail. */
+    private void apply(ForwardHarness h) {
+      if (this == NO_HEALTHY_UPSTREAM) {
+        String busy = h.last().upstream.id();
+        h.upstreams.usable("s", 0).stream()
+            .map(UpstreamEntry::id)
+            .filter(id -> !id.equals(busy))
+            .forEach(id -> failOften(h, id));
+      }
+    }
+
+    private static void failOften(ForwardHarness h, String upstreamId) {
+      for (int i = 0; i < 4; i++) {
+        h.forwarder.loads().ownLoad(upstreamId).onFailure(h.scheduler.nowMillis());
+      }
+    }
+  }
+
+  /** Guards against cutting a stream whose upstream is silent for a second and goes on. */
+  @ParameterizedTest
+  @EnumSource(Obstacle.class)
+  void keepsStreamAtSilentUpstreamUnlessItCanMove(Obstacle obstacle) {
+    ForwardHarness h = obstacle.harness(RetryPolicy.RESUMABLE, true);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    obstacle.apply(h);
+    h.scheduler.run(1_200);
+    assertThat(h.callerEvents).doesNotContain("abort");
+    h.last().event(2);
+    h.last().listener.onEnd();
+    assertThat(h.callerEvents).endsWith("id: 1", "id: 2", "end");
+    assertThat(h.sent).hasSize(1);
+  }
+
+  /** Guards against cutting a stream whose only retry opened no connection. */
+  @Test
+  void movesStreamOnIfTheNextUpstreamOpensNoConnection() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 3);
+    while (h.forwarder.retryBudget("s").tryRetry()) {
+      assertThat(h.sent).isEmpty();
+    }
+    for (int i = 0; i < 4; i++) {
+      h.serve(ForwardHarness.prompt(10, 5));
+      h.last().head(200);
+      h.last().event(1);
+      if (i < 3) {
+        h.last().listener.onEnd();
+      }
+    }
+    h.scheduler.run(900);
+    assertThat(h.sent).hasSize(5);
+    assertThat(h.forwarder.retryBudget("s").hasRetry()).isFalse();
+    h.last().fail(AttemptOutcome.NOT_SENT);
+    assertThat(h.callerEvents).doesNotContain("abort");
+    assertThat(h.sent).hasSize(6);
+    assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+  }
+
+  /** Guards against silences that the log does not show because their requests go on. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2})
+  void logsSilenceAndWhetherRequestCouldMove(int upstreams) {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, upstreams);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    h.scheduler.run(1_200);
+    assertThat(h.logLines).hasSize(1);
+    assertThat(h.logLines.get(0))
+        .containsEntry("upstream", "u0")
+        .containsEntry("can_move", upstreams > 1)
+        .containsKey("silent_ms");
+  }
+
+  /** Guards against replacing the late response of a silent upstream by a failure. */
+  @ParameterizedTest
+  @EnumSource(Obstacle.class)
+  void keepsRepeatableRequestAtSilentUpstreamUnlessItCanMove(Obstacle obstacle) {
+    ForwardHarness h = obstacle.harness(RetryPolicy.REPEATABLE, false);
+    h.serve(ForwardHarness.plain("/a/x", "key"));
+    obstacle.apply(h);
+    h.scheduler.run(1_200);
+    h.last().respond(200, "late");
+    assertThat(h.callerEvents).containsExactly("200 late");
+    assertThat(h.sent).hasSize(1);
+  }
+
+  /** Guards against requests that end each other at an upstream that is silent for a second. */
+  @Test
+  void keepsRequestsThatWaitWhereAnotherOneIsSilent() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent waiting = h.last();
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent silent = h.last();
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    silent.head(200);
+    silent.event(1);
+    h.scheduler.run(1_200);
+    assertThat(silent.cancelled).isTrue();
+    assertThat(waiting.cancelled).isFalse();
+    assertThat(h.sent).hasSize(4);
+  }
+
+  /** Guards against requests that stay at an upstream that hangs and never goes on. */
+  @Test
+  void movesRequestsThatWaitForLongWhereAnotherOneIsSilent() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent waiting = h.last();
+    h.serve(ForwardHarness.prompt(100, 50));
+    final ForwardHarness.Sent silent = h.last();
+    h.scheduler.run(700);
+    silent.head(200);
+    silent.event(1);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(1_150);
+    assertThat(silent.cancelled).isTrue();
+    assertThat(waiting.cancelled).isTrue();
+    assertThat(h.sent).hasSize(4);
+  }
+
+  /** Guards against a stream that stays where it is silent although it could go on by now. */
+  @Test
+  void movesSilentStreamAsSoonAsAnotherUpstreamIsThere() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    h.serve(ForwardHarness.prompt(100, 50));
+    h.last().head(200);
+    h.last().event(1);
+    h.scheduler.run(1_000);
+    assertThat(h.sent).hasSize(1);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(ForwardAttempt.CHECK_INTERVAL_MILLIS);
+    assertThat(h.sent).hasSize(2);
+    assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+  }
+
+  /** Guards against two runs of one request at the same time. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void cancelsAttemptAtSilentUpstreamBeforeTheNextOne(boolean streamed) {
+    RetryPolicy policy = streamed ? RetryPolicy.RESUMABLE : RetryPolicy.REPEATABLE;
+    ForwardHarness h = new ForwardHarness(policy, streamed, 3, 3);
+    h.serve(ForwardHarness.prompt(100, 50));
+    if (streamed) {
+      h.last().head(200);
+      h.last().event(1);
+    }
+    h.scheduler.run(900);
+    assertThat(h.sent).hasSize(2);
+    assertThat(h.sent).noneMatch(s -> s.isBesideAnother);
+  }
+
+  /** Guards against retries that are used up by requests that stay where they are. */
+  @Test
+  void takesRetryOnlyWhenSilentRequestMoves() {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 2, 1);
+    int used = 0;
+    while (h.forwarder.retryBudget("s").tryRetry()) {
+      used++;
+    }
+    int requests = 20;
+    for (int i = 0; i < requests; i++) {
+      h.serve(ForwardHarness.prompt(10, 5));
+      h.last().head(200);
+      h.last().event(1);
+    }
+    h.scheduler.run(1_000);
+    assertThat(h.sent).hasSize(requests);
+    h.upstreams.put(new UpstreamEntry("other", "s", "127.0.0.1:9", "here", false, 4, 0));
+    h.scheduler.run(ForwardAttempt.CHECK_INTERVAL_MILLIS);
+    double halfOfSlack = 0.5 * 50;
+    int retries = (int) (0.7 * (halfOfSlack + 0.2 * requests)) - used;
+    assertThat(retries).isBetween(1, 4);
+    assertThat(h.sent).hasSize(requests + retries);
+  }
+
   /** Guards against treating an upstream as unresponsive while the caller reads slowly. */
   @Test
   void doesNotTimeOutTheUpstreamOfSlowCaller() {
@@ -439,4 +702,92 @@
     assertThat(h.outcome()).isEqualTo("MALFORMED");
     assertThat(h.sent).isEmpty();
   }
+
+  /**
+   * Guards against requests that wait while the configuration changes and get no answer, or two.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void answersEachRequestOnceWhileConfigurationAndUpstreamsChange(long seed) {
+    Random random = new Random(seed);
+    boolean streamed = random.nextBoolean();
+    RetryPolicy repeatable = streamed ? RetryPolicy.RESUMABLE : RetryPolicy.REPEATABLE;
+    RetryPolicy policy = random.nextInt(3) == 0 ? RetryPolicy.ONCE : repeatable;
+    ForwardHarness h = new ForwardHarness(policy, streamed, 2, 3);
+    h.crashes.start();
+    final ForwardingTable first = h.current;
+    Set<ForwardHarness.Sent> ended = new HashSet<>();
+    int served = 0;
+    for (int i = 0; i < 600; i++) {
+      switch (random.nextInt(8)) {
+        case 0 -> h.current = random.nextBoolean() ? first : withoutRoutes(first);
+        case 1 -> h.table.isDown = random.nextInt(4) == 0;
+        case 2 -> changeUpstream(h, "u" + random.nextInt(3), random.nextBoolean());
+        case 3 -> {
+          long prepaid = random.nextInt(2 * (int) ForwardHarness.PREPAID_TOKENS);
+          h.budgets.updateAccounts(
+              List.of(
+                  new AccountSettings(
+                      ForwardHarness.ACCOUNT, OptionalInt.empty(), OptionalLong.of(prepaid))));
+        }
+        case 4, 5 -> {
+          served++;
+          boolean prompted = streamed || random.nextBoolean();
+          h.serve(
+              prompted
+                  ? ForwardHarness.smallPrompt("p" + random.nextInt(3), "own" + i)
+                  : ForwardHarness.plain("/a/x", "key"));
+        }
+        default ->
+            h.sent.stream()
+                .filter(s -> !s.cancelled && !ended.contains(s))
+                .skip(random.nextInt(3))
+                .findFirst()
+                .ifPresent(s -> answer(s, random, ended));
+      }
+      h.scheduler.run(random.nextInt(60));
+    }
+    h.scheduler.run(6_000);
+    assertThat(h.callerEvents.stream().filter(ForwarderTest::isLast)).hasSize(served);
+    assertThat(h.forwarder.inProgress()).isZero();
+  }
+
+  private static boolean isLast(String callerEvent) {
+    return !callerEvent.startsWith("begin") && !callerEvent.startsWith("id:");
+  }
+
+  private static ForwardingTable withoutRoutes(ForwardingTable t) {
+    return new ForwardingTable(
+        t.version() + 1, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
+  }
+
+  private static void changeUpstream(ForwardHarness h, String id, boolean isThere) {
+    if (isThere) {
+      h.upstreams.put(new UpstreamEntry(id, "s", "127.0.0.1:1", "here", false, 4, 0));
+    } else {
+      h.upstreams.remove(id, h.scheduler.nowMillis());
+      h.forwarder.loads().onUpstreamsRemoved(List.of(id));
+    }
+  }
+
+  private static void answer(
+      ForwardHarness.Sent sent, Random random, Set<ForwardHarness.Sent> ended) {
+    int choice = random.nextInt(6);
+    if (choice < 2) {
+      sent.head(200);
+      sent.event(1 + random.nextInt(3));
+      return;
+    }
+    ended.add(sent);
+    if (choice == 2) {
+      sent.head(200);
+      sent.listener.onEnd();
+    } else if (choice == 3) {
+      sent.respond(500, "failed");
+    } else {
+      AttemptOutcome[] outcomes = AttemptOutcome.values();
+      sent.head(200);
+      sent.fail(outcomes[random.nextInt(outcomes.length)]);
+    }
+  }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
@@ -18,6 +18,7 @@
 import org.hibiscusreel.coordination.forward.ForwardSettings;
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.Refusal;
+import org.hibiscusreel.coordination.forward.RowValue;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.coordination.platform.ObservedStoreClock;
 import org.hibiscusreel.coordination.port.ChangeFeed;
@@ -126,7 +127,10 @@
             store,
             new ObservedStoreClock(scheduler::nowMillis),
             new FleetFollower.RowFormat(
-                "configuration", "upstreams", c -> Optional.empty(), c -> Optional.empty()),
+                "configuration",
+                "upstreams",
+                c -> new RowValue.Absent<>(),
+                c -> new RowValue.Absent<>()),
             new UnusedDialect(),
             new UnusedDialect());
     PrintStream out = new PrintStream(OutputStream.nullOutputStream());
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,6 +49,8 @@
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the server over real sockets with a scripted upstream. */
 class ForwardServerTest {
@@ -60,6 +63,7 @@
   private RawServer upstream;
   private ForwardServer server;
   private volatile boolean isReady = true;
+  private Optional<String> upstreamAddress = Optional.empty();
   private final CountedTraffic callerTraffic = new CountedTraffic();
   private final CountedTraffic upstreamTraffic = new CountedTraffic();
 
@@ -140,7 +144,8 @@
             Map.of("key", "a"));
 
     Fleet() {
-      catalog.put(new UpstreamEntry("u", "s", upstream.address(), "d", false, 1, 0));
+      String address = upstreamAddress.orElseGet(upstream::address);
+      catalog.put(new UpstreamEntry("u", "s", address, "d", false, 1, 0));
     }
 
     private static Route route(String prefix, boolean streamed) {
@@ -290,6 +295,139 @@
     }
   }
 
+  /** Guards against a response that is neither the upstream's nor a refusal. */
+  @ParameterizedTest
+  @ValueSource(strings = {"127.0.0.1:70000", "127.0.0.1:x", "127.0.0.1:"})
+  void refusesRequestWhoseUpstreamHasUnusableAddress(String address) throws Exception {
+    upstreamAddress = Optional.of(address);
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      BufferedReader in =
+          new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
+      assertThat(in.readLine()).startsWith("HTTP/1.1 503");
+    }
+  }
+
+  /** Guards against a request that was read and gets neither an answer nor a refusal. */
+  @Test
+  void refusesRequestThatArrivesBeforeThePreviousResponse() throws Exception {
+    CountDownLatch sentBoth = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          assertThat(sentBoth.await(5, TimeUnit.SECONDS)).isTrue();
+          Thread.sleep(100);
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      while (upstream.requestLines().isEmpty()) {
+        Thread.sleep(10);
+      }
+      send(s, request("/plain/y"));
+      Thread.sleep(50);
+      send(s, request("/plain/z"));
+      sentBoth.countDown();
+      String text = readAll(s);
+      assertThat(text).startsWith("HTTP/1.1 200").contains("helloHTTP/1.1 503");
+      assertThat(text.split("HTTP/1.1", -1)).hasSize(3);
+      assertThat(upstream.requestLines()).hasSize(1);
+    }
+  }
+
+  /** Guards against a kept connection that an empty line between two requests closes. */
+  @Test
+  void servesNextRequestAfterEmptyLine() throws Exception {
+    start(
+        (line, socket, out) -> {
+          Thread.sleep(200);
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    try (Socket s = connect()) {
+      for (int i = 0; i < 2; i++) {
+        send(s, request("/plain/x"));
+        Thread.sleep(100);
+        send(s, "\r\n");
+        readUntil(s, "hello");
+      }
+    }
+  }
+
+  /** Guards against upstreams that keep working after such a caller disconnected. */
+  @Test
+  void cancelsUpstreamRequestWhenCallerWithTwoRequestsDisconnects() throws Exception {
+    CountDownLatch dropped = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          if (socket.getInputStream().read() < 0) {
+            dropped.countDown();
+          }
+        });
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      while (upstream.requestLines().isEmpty()) {
+        Thread.sleep(10);
+      }
+      send(s, request("/plain/y"));
+      Thread.sleep(100);
+    }
+    assertThat(dropped.await(2, TimeUnit.SECONDS)).isTrue();
+  }
+
+  /** Guards against a request that crosses the announcement of a close and gets no answer. */
+  @Test
+  void answersRequestOnConnectionWhoseCloseWasAnnounced() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    isReady = false;
+    try (Socket s = connect()) {
+      for (int i = 0; i < 3; i++) {
+        send(s, request("/plain/x"));
+        assertThat(readUntil(s, "hello")).containsIgnoringCase("\r\nConnection: close\r\n");
+      }
+    }
+  }
+
+  /** Guards against kept connections that a stop closes while their requests are in progress. */
+  @Test
+  void answersRequestsInProgressOnKeptConnectionsWhenItStops() throws Exception {
+    CountDownLatch stopping = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          if (line.contains("slow")) {
+            assertThat(stopping.await(5, TimeUnit.SECONDS)).isTrue();
+            Thread.sleep(200);
+          }
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    List<Socket> callers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Socket s = connect();
+      callers.add(s);
+      send(s, request("/plain/x"));
+      readUntil(s, "hello");
+      send(s, request("/plain/slow"));
+    }
+    while (upstream.requestLines().size() < 2 * callers.size()) {
+      Thread.sleep(10);
+    }
+    loop.run(() -> assertThat(server.stop()).isNotNull());
+    stopping.countDown();
+    for (Socket s : callers) {
+      assertThat(readAll(s)).startsWith("HTTP/1.1 200").endsWith("hello");
+      s.close();
+    }
+  }
+
+  private static String readUntil(Socket socket, String end) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().endsWith(end)) {
+      int c = socket.getInputStream().read();
+      assertThat(c).as("after %s", text).isNotNegative();
+      text.append((char) c);
+    }
+    return text.toString();
+  }
+
   /** Guards against traffic that the measurement of the link misses. */
   @Test
   void countsTrafficWithCallersAndUpstreams() throws Exception {
@@ -301,6 +439,8 @@
       while (!text.toString().endsWith("hello")) {
         text.append((char) s.getInputStream().read());
       }
+      // The loop counts the bytes after it has written them, so let it finish that step.
+      loop.run(() -> {});
       assertThat(callerTraffic.received).hasValue(request.length());
       assertThat(callerTraffic.sent).hasValue(text.length());
       assertThat(upstreamTraffic.received).hasValueGreaterThan("hello".length());
