Keep the bound of a steep ceiling from overflowing

A row may hold a rise of up to 1e15 tokens a millisecond. The rise over some seconds is then saturated, and the sum with the base was negative, so a successor counted the declared tokens only.

SpendingCeilingTest.doesNotOverflow failed before: Expecting actual: -9223372036854774809L to be greater than or equal to: 1000000000000000L

--- a/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
@@ -21,9 +21,10 @@
    * Returns the bound at a given time.
    *
    * @param storeMillis time of the store in milliseconds
-   * @return tokens
+   * @return tokens, {@code Long.MAX_VALUE} if the bound is greater
    */
   public long at(long storeMillis) {
-    return base + (long) (tokensPerMilli * Math.max(0, storeMillis - sinceMillis));
+    long rise = (long) (tokensPerMilli * Math.max(0, storeMillis - sinceMillis));
+    return base + Math.min(rise, Long.MAX_VALUE - base);
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/budget/SpendingCeilingTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/budget/SpendingCeilingTest.java
@@ -22,4 +22,11 @@
     assertThat(ceiling.at(55_000)).isEqualTo(3_000);
     assertThat(ceiling.at(60_000)).isEqualTo(13_000);
   }
+
+  /** Guards against a bound that becomes negative after a steep rise. */
+  @Test
+  void doesNotOverflow() {
+    long most = 1_000_000_000_000_000L;
+    assertThat(new SpendingCeiling(1_000, most, 0).at(60_000)).isGreaterThanOrEqualTo(most);
+  }
 }
