Retry a failed call for prepaid tokens once per delay

Each rebalance during an outage of the store started a series of retries of its own: one every two seconds, and one for each request that was served from held tokens. Series end only when a call succeeds, so the calls grew with the length of the outage and with the demand. They are priced and count toward the rate limits of the store when it is back. While a takeover waits for the store's time, the series grew as well.

PrepaidBudgetsTest.triesAgainOnlyOncePerDelayDuringAnOutage failed before, with the calls of one account in 8 s: Expecting actual: 140 to be between: [16, 34]

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -82,6 +82,7 @@
   private boolean rowsCurrent;
   private boolean outcomeUnknown;
   private boolean callInProgress;
+  private boolean retryScheduled;
   private String failureReason = "";
   private String unusableReason = "";
   private long unusableUntilMillis = Long.MIN_VALUE;
@@ -167,7 +168,7 @@
 
   /** Draws tokens or returns surplus tokens as the demand requires. */
   void rebalance() {
-    if (callInProgress || scheduler.nowMillis() < unusableUntilMillis) {
+    if (callInProgress || retryScheduled || scheduler.nowMillis() < unusableUntilMillis) {
       return;
     }
     if (!rowsKnown) {
@@ -489,7 +490,13 @@
       closeFuture.complete(null);
       return;
     }
-    scheduler.schedule(RETRY_DELAY_MILLIS, this::rebalance);
+    retryScheduled = true;
+    scheduler.schedule(
+        RETRY_DELAY_MILLIS,
+        () -> {
+          retryScheduled = false;
+          rebalance();
+        });
   }
 
   private void completeClose() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -440,6 +440,27 @@
     assertThat(reserve(a, 90_000)).isInstanceOf(Outcome.Reserved.class);
   }
 
+  /** Guards against ever more calls to the store while it is away and requests are served. */
+  @Test
+  void triesAgainOnlyOncePerDelayDuringAnOutage() {
+    PrepaidBudgets a = daemon("a", 4, 1_000_000);
+    for (int i = 0; i < 20; i++) {
+      assertThat(reserve(a, 500)).isInstanceOf(Outcome.Reserved.class);
+      a.settle(ACCOUNT, 500, 500);
+    }
+    table.isDown = true;
+    final int before = table.writes + table.reads;
+    for (int i = 0; i < 160; i++) {
+      var outcome = a.reserve(ACCOUNT, 20, TIMEOUT_MILLIS);
+      if (outcome.getNow(new Outcome.Exhausted()) instanceof Outcome.Reserved) {
+        a.settle(ACCOUNT, 20, 20);
+      }
+      scheduler.run(50);
+    }
+    int calls = table.writes + table.reads - before;
+    assertThat(calls).isBetween(16, (int) (8_000 / AccountBudget.RETRY_DELAY_MILLIS) + 2);
+  }
+
   /** Guards against two processes of one host that spend the same tokens. */
   @Test
   void spendsNothingAfterAnotherProcessTookOver() {
