Read the rows of a budget again before they count as spoilt

A late transaction that takes effect between the reads of the two rows leaves a row of the account that has less than the row of the host. The daemon then refused the account's waiting requests and did nothing for a second, also at a takeover.

PrepaidBudgetsTest.takesOverAtOnceAfterLateWriteBetweenTheReads failed before: Expecting actual: Unavailable[reason=the rows of the budget can't be used] to match given predicate.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -83,6 +83,7 @@
   private boolean outcomeUnknown;
   private boolean callInProgress;
   private boolean retryScheduled;
+  private boolean readAgain; // whether both rows were read once more because they disagreed
   private String failureReason = "";
   private String unusableReason = "";
   private long unusableUntilMillis = Long.MIN_VALUE;
@@ -183,7 +184,12 @@
     if (change == 0 && !outcomeUnknown && !needsWrite()) {
       onNothingToChange();
     } else if (rows.isConsistent()) {
+      readAgain = false;
       transact(change);
+    } else if (!readAgain) {
+      // A late transaction may have taken effect between the reads of the two rows.
+      readAgain = true;
+      readBothRows();
     } else {
       onUnusableRows(rows.totalKey() + " has less than " + rows.holderKey());
     }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -461,6 +461,30 @@
     assertThat(calls).isBetween(16, (int) (8_000 / AccountBudget.RETRY_DELAY_MILLIS) + 2);
   }
 
+  /** Guards against a pause after a late write of the predecessor between the two reads. */
+  @Test
+  void takesOverAtOnceAfterLateWriteBetweenTheReads() {
+    PrepaidBudgets first = daemon("a", "a.1", 1, 100_000);
+    assertThat(reserve(first, 1_000)).isInstanceOf(Outcome.Reserved.class);
+    table.failWrites(Fault.APPLIED_LATE);
+    var waiting = first.reserve(ACCOUNT, 20_000, TIMEOUT_MILLIS);
+    scheduler.run(2 + 2);
+    assertThat(waiting).isCompletedWithValueMatching(o -> o instanceof Outcome.Unavailable);
+    killed.add("a.1");
+    long drawnBefore = drawnByAll();
+    PrepaidBudgets second = daemon("a", "a.2", 1, new VirtualStoreClock(scheduler));
+    scheduler.run(2_995);
+    second.updateAccounts(accountTerms(100_000));
+    scheduler.run(2);
+    assertThat(drawnByAll()).isEqualTo(drawnBefore);
+    scheduler.run(1);
+    assertThat(drawnByAll()).isGreaterThan(drawnBefore);
+    scheduler.run(100);
+    var outcome = second.reserve(ACCOUNT, 100, TIMEOUT_MILLIS);
+    scheduler.run(100);
+    assertThat(outcome).isCompletedWithValueMatching(o -> o instanceof Outcome.Reserved);
+  }
+
   /** Guards against two processes of one host that spend the same tokens. */
   @Test
   void spendsNothingAfterAnotherProcessTookOver() {
