--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -82,6 +82,8 @@
   private boolean rowsCurrent;
   private boolean outcomeUnknown;
   private boolean callInProgress;
+  private boolean retryScheduled;
+  private boolean readAgain; // whether both rows were read once more because they disagreed
   private String failureReason = "";
   private String unusableReason = "";
   private long unusableUntilMillis = Long.MIN_VALUE;
@@ -167,7 +169,7 @@
 
   /** Draws tokens or returns surplus tokens as the demand requires. */
   void rebalance() {
-    if (callInProgress || scheduler.nowMillis() < unusableUntilMillis) {
+    if (callInProgress || retryScheduled || scheduler.nowMillis() < unusableUntilMillis) {
       return;
     }
     if (!rowsKnown) {
@@ -182,7 +184,12 @@
     if (change == 0 && !outcomeUnknown && !needsWrite()) {
       onNothingToChange();
     } else if (rows.isConsistent()) {
+      readAgain = false;
       transact(change);
+    } else if (!readAgain) {
+      // A late transaction may have taken effect between the reads of the two rows.
+      readAgain = true;
+      readBothRows();
     } else {
       onUnusableRows(rows.totalKey() + " has less than " + rows.holderKey());
     }
@@ -489,7 +496,13 @@
       closeFuture.complete(null);
       return;
     }
-    scheduler.schedule(RETRY_DELAY_MILLIS, this::rebalance);
+    retryScheduled = true;
+    scheduler.schedule(
+        RETRY_DELAY_MILLIS,
+        () -> {
+          retryScheduled = false;
+          rebalance();
+        });
   }
 
   private void completeClose() {
