Rely on the address of the readiness for the end of the run before

The address of the readiness is held until the end and is bound before the first call to the store as well. No change of behaviour.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -28,7 +28,7 @@
  * <p>The row of a host remains after the incarnation that wrote it has ended. A new incarnation
  * takes over the row with all tokens that the previous one can't have consumed until its end. It
  * had ended before this daemon sent its first call to the store, because this daemon had bound the
- * address on which it serves callers before: a live process would still hold it.
+ * address of its readiness before, which a process holds until it ends.
  */
 final class AccountBudget {
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -471,7 +471,7 @@
     scheduler.run(2 + 2);
     assertThat(waiting).isCompletedWithValueMatching(o -> o instanceof Outcome.Unavailable);
     killed.add("a.1");
-    long drawnBefore = drawnByAll();
+    final long drawnBefore = drawnByAll();
     PrepaidBudgets second = daemon("a", "a.2", 1, new VirtualStoreClock(scheduler));
     scheduler.run(2_995);
     second.updateAccounts(accountTerms(100_000));
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -220,10 +220,10 @@
     decisions.record(
         "start",
         Map.of("host", settings.host(), "failure_domain", settings.forward().failureDomain()));
+    // A process holds the address of its readiness until it ends, also while it stops. Binding it
+    // shows that an earlier process of this host has ended, which the calls to the store rely on.
     status.start();
     metrics.start();
-    // Binding the callers' address shows that an earlier process of this host has ended, which the
-    // calls to the store rely on.
     server.start();
     loadTransport.start();
     loadExchange.start();
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
@@ -30,7 +30,8 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ForwardDaemonTest {
 
@@ -107,14 +108,14 @@
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
-  private ForwardDaemon daemon(TestLoop loop, int callerPort) {
+  private ForwardDaemon daemon(TestLoop loop, int callerPort, int statusPort) {
     EventLoopScheduler scheduler = new EventLoopScheduler(loop.eventloop());
     ForwardDaemon.Settings settings =
         new ForwardDaemon.Settings(
             "h",
             "h.2",
             loopback(callerPort),
-            loopback(0),
+            loopback(statusPort),
             loopback(0),
             loopback(0),
             1_000,
@@ -140,17 +141,19 @@
 
   /**
    * Guards against a daemon that takes over tokens of a process that still runs: the first call to
-   * the store has to follow the binding of the callers' address.
+   * the store has to follow the binding of both addresses.
    */
-  @Test
-  void callsNoStoreWhileAnotherProcessHoldsTheAddressOfCallers() throws IOException {
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void callsNoStoreWhileAnotherProcessHoldsAnAddress(boolean ofCallers) throws IOException {
     AtomicInteger failures = new AtomicInteger();
     TestLoop loop = new TestLoop();
     try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       loop.run(
           () -> {
             try {
-              daemon(loop, held.getLocalPort()).start();
+              int port = held.getLocalPort();
+              daemon(loop, ofCallers ? port : 0, ofCallers ? 0 : port).start();
             } catch (BindException e) {
               failures.incrementAndGet();
             } catch (IOException e) {
