--- a/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/SpendingCeiling.java
@@ -8,7 +8,7 @@
  * with the time of the store, so that a daemon can continue to serve requests during an outage
  * without declaring a new one.
  *
- * @param base total tokens that may be consumed at the time of the declaration
+ * @param base bound until it rises, in tokens
  * @param tokensPerMilli rise of the bound
  * @param sinceMillis time of the store in milliseconds from which the bound rises
  */
