Offer nothing to upstreams that leave or asked for a pause

Cause: an upstream that leaves was known only from the store, and the header field Server-Leaving of its responses was passed on and read by nothing; nor was the Retry-After of its refusals.

Change: each response that is not of another instance gives a notice. A leaving instance gets no requests from the head of that response on, whatever the store lists, until another instance is listed in its place; the other daemons hear of it with the load reports for three seconds. An upstream that asked for a pause gets nothing until the latest end that it named; if all of a service asked for one, requests are refused at once with the earliest end.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -10,11 +10,13 @@
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.AttemptProgress;
+import org.hibiscusreel.core.forward.PauseRequest;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.core.forward.UpstreamSelector;
 
 /**
@@ -163,7 +165,20 @@
   }
 
   @Override
-  public void onRequestLimit(RequestLimit limit) {
+  public void onNotice(UpstreamNotice notice) {
+    onRequestLimit(notice.limit());
+    if (notice.isLeaving()) {
+      forwarder.onLeaving(upstream);
+    }
+    if (notice.pause() instanceof PauseRequest.Pause p) {
+      forwarder.onPause(upstream, p.millis());
+    } else if (notice.pause() instanceof PauseRequest.Invalid i) {
+      Map<String, Object> line = Map.of("upstream", upstream.id(), "invalid", i.text());
+      forwarder.log().record("upstream_pause", line);
+    }
+  }
+
+  private void onRequestLimit(RequestLimit limit) {
     UpstreamLimits limits = forwarder.loads().limits();
     long now = forwarder.scheduler().nowMillis();
     boolean changed = limits.onResponse(upstream.id(), limit, sentAtMillis, now);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -289,11 +289,21 @@
   private void endWithoutUpstream() {
     OptionalLong retryAfter =
         forwarder.limitedRetryMillis(service.name(), request.prompt(), maxFirstEventMillis());
-    String reason =
-        retryAfter.isPresent()
-            ? "all upstreams of " + service.name() + " are at their limits or full"
-            : "no upstream of " + service.name() + " is left";
-    endUnserved(new Refusal(Refusal.Kind.NOT_RUN, retryAfter.orElse(RETRY_AFTER_MILLIS), reason));
+    if (retryAfter.isPresent()) {
+      endWithoutUpstream(retryAfter.getAsLong(), "are at their limits or full");
+      return;
+    }
+    OptionalLong pause = forwarder.pausedRetryMillis(service.name());
+    if (pause.isPresent()) {
+      endWithoutUpstream(pause.getAsLong(), "asked for a pause");
+    } else {
+      endUnserved("no upstream of " + service.name() + " is left");
+    }
+  }
+
+  private void endWithoutUpstream(long retryAfterMillis, String state) {
+    String reason = "all upstreams of " + service.name() + " " + state;
+    endUnserved(new Refusal(Refusal.Kind.NOT_RUN, retryAfterMillis, reason));
   }
 
   private long remainingMillis() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -13,6 +13,7 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.PrefillRate;
 import org.hibiscusreel.core.forward.PromptShape;
@@ -20,6 +21,7 @@
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
+import org.hibiscusreel.core.forward.UpstreamPauses;
 import org.hibiscusreel.core.forward.UpstreamSelector;
 import org.hibiscusreel.core.retry.RetryBudget;
 
@@ -59,6 +61,7 @@
   private final Map<String, Long> nextRoomMillis = new HashMap<>();
   private final Map<String, PromptSizes> promptSizes = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
+  private final UpstreamPauses pauses = new UpstreamPauses();
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private long refused;
@@ -289,7 +292,9 @@
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
-      if (!tried.contains(e.id()) && loads.waitMillis(e.id()) == 0) {
+      if (!tried.contains(e.id())
+          && pauses.remainingMillis(e.id(), now) == 0
+          && loads.waitMillis(e.id()) == 0) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
@@ -358,6 +363,37 @@
     return OptionalLong.of(Math.max(MIN_LIMITED_RETRY_AFTER_MILLIS, retryMillis));
   }
 
+  /**
+   * Returns when the first upstream of a service takes requests again, if each of them asked this
+   * daemon for a pause.
+   *
+   * @return delay in milliseconds, or empty if an upstream asked for none or there is none
+   */
+  OptionalLong pausedRetryMillis(String service) {
+    long now = scheduler.nowMillis();
+    return fleet.upstreams().usable(service, now).stream()
+        .mapToLong(e -> pauses.remainingMillis(e.id(), now))
+        .min()
+        .stream()
+        .filter(m -> m > 0)
+        .findFirst();
+  }
+
+  /** Stops offering requests to an upstream that asked for a pause. */
+  void onPause(UpstreamEntry upstream, long millis) {
+    pauses.add(upstream.id(), millis, scheduler.nowMillis());
+    log.record("upstream_pause", Map.of("upstream", upstream.id(), "pause_ms", millis));
+  }
+
+  /** Stops offering requests to an upstream that is leaving, and tells the other daemons. */
+  void onLeaving(UpstreamEntry upstream) {
+    LeavingUpstream instance = LeavingUpstream.of(upstream);
+    if (fleet.upstreams().onLeaving(instance)) {
+      log.record("upstream_leaving", Map.of("upstream", upstream.id(), "source", "response"));
+      loads.announceLeaving(instance);
+    }
+  }
+
   UpstreamCrashes crashes() {
     return crashes;
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -2,14 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
 import java.util.function.IntSupplier;
-import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.UpstreamLimits;
@@ -54,6 +55,15 @@
    */
   static final long HEARD_MILLIS = 1_100;
 
+  /**
+   * Time for which a leaving upstream is reported, in milliseconds, so that a report arrives
+   * although some are lost. The store tells of most upstreams earlier.
+   */
+  static final long ANNOUNCE_LEAVING_MILLIS = 3_000;
+
+  /** Largest number of leaving upstreams in a report, so that it fits into a datagram. */
+  static final int MAX_REPORTED_LEAVING = 30;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -64,6 +74,24 @@
    */
   public record Identity(String incarnation, String address) {}
 
+  /** Receives what the reports say beside the load. */
+  public interface PeerListener {
+
+    /**
+     * Called with the version of the configuration in each report.
+     *
+     * @param version version that another daemon has confirmed lately, 0 if none
+     */
+    void onVersion(long version);
+
+    /**
+     * Called with each upstream that another daemon reports as leaving.
+     *
+     * @param instance the upstream
+     */
+    default void onLeaving(LeavingUpstream instance) {}
+  }
+
   private final Scheduler scheduler;
   private final LoadTransport transport;
   private final Identity self;
@@ -72,7 +100,8 @@
   private final PeerLoads peerLoads = new PeerLoads();
   private final UpstreamLimits limits = new UpstreamLimits();
   private final LongSupplier ownVersion;
-  private final LongConsumer peerVersions;
+  private final PeerListener peerListener;
+  private final Map<LeavingUpstream, Long> announcedUntilMillis = new LinkedHashMap<>();
   private final Map<String, Integer> ownRanks = new HashMap<>();
   private List<String> peers = List.of();
   private long sequence;
@@ -90,7 +119,7 @@
    * @param self incarnation and address of this daemon
    * @param daemonCount supplies the number of daemons, too high rather than too low
    * @param ownVersion version of the configuration that this daemon has confirmed lately, 0 if none
-   * @param peerVersions receives the version of the configuration in each report
+   * @param peerListener receives what the reports of other daemons say beside the load
    * @throws NullPointerException if an argument is null
    */
   public LoadExchange(
@@ -99,13 +128,13 @@
       Identity self,
       IntSupplier daemonCount,
       LongSupplier ownVersion,
-      LongConsumer peerVersions) {
+      PeerListener peerListener) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.self = Objects.requireNonNull(self, "self");
     this.daemonCount = Objects.requireNonNull(daemonCount, "daemonCount");
     this.ownVersion = Objects.requireNonNull(ownVersion, "ownVersion");
-    this.peerVersions = Objects.requireNonNull(peerVersions, "peerVersions");
+    this.peerListener = Objects.requireNonNull(peerListener, "peerListener");
   }
 
   /** Starts to receive reports and to send them periodically. */
@@ -116,7 +145,8 @@
           if (peerLoads.onReport(r, now)) {
             limits.onReport(r.sender(), r.limits(), isCommon(), now);
           }
-          peerVersions.accept(r.configurationVersion());
+          peerListener.onVersion(r.configurationVersion());
+          r.leaving().forEach(peerListener::onLeaving);
         });
     scheduler.schedule(REPEAT_INTERVAL_MILLIS, this::repeatReport);
   }
@@ -232,6 +262,12 @@
     return peerLoads;
   }
 
+  /** Tells the other daemons that an upstream has said that it is leaving. */
+  void announceLeaving(LeavingUpstream instance) {
+    announcedUntilMillis.put(instance, scheduler.nowMillis() + ANNOUNCE_LEAVING_MILLIS);
+    scheduleReport();
+  }
+
   /** Schedules a report after a change of this daemon's load. */
   void scheduleReport() {
     if (isReportScheduled || peers.isEmpty()) {
@@ -275,7 +311,10 @@
     long version = ownVersion.getAsLong();
     List<UpstreamLimits.Report> limited =
         limits.toReport(MAX_REPORTED_LIMITS, scheduler.nowMillis());
-    boolean isEmpty = entries.isEmpty() && limited.isEmpty();
+    announcedUntilMillis.values().removeIf(end -> end <= scheduler.nowMillis());
+    List<LeavingUpstream> leaving =
+        announcedUntilMillis.keySet().stream().limit(MAX_REPORTED_LEAVING).toList();
+    boolean isEmpty = entries.isEmpty() && limited.isEmpty() && leaving.isEmpty();
     boolean isUnchanged = isEmpty && wasLastReportEmpty && version == lastReportedVersion;
     if (stopped || peers.isEmpty() || isUnchanged) {
       return;
@@ -284,6 +323,6 @@
     lastReportedVersion = version;
     lastSentAtMillis = scheduler.nowMillis();
     transport.send(
-        peers, new LoadReport(self.incarnation(), ++sequence, version, entries, limited));
+        peers, new LoadReport(self.incarnation(), ++sequence, version, entries, limited, leaving));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.hibiscusreel.core.forward.AttemptOutcome;
-import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 
 /** Sends requests to upstreams. Methods and callbacks run only on the event loop thread. */
 public interface UpstreamTransport {
@@ -30,9 +30,9 @@
     /**
      * Called when the header of a response from the upstream arrived, before any other call.
      *
-     * @param limit what the response says of the requests that the upstream takes
+     * @param notice what the response says of the upstream
      */
-    void onRequestLimit(RequestLimit limit);
+    void onNotice(UpstreamNotice notice);
 
     /**
      * Called when the header of a usable response from the upstream arrived.
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LimitedUpstreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LimitedUpstreamsTest.java
@@ -9,8 +9,10 @@
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.stream.LongStream;
+import org.hibiscusreel.core.forward.PauseRequest;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.RetryPolicy;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -31,6 +33,9 @@
     }
   }
 
+  private static final UpstreamNotice LIMIT =
+      new UpstreamNotice(new RequestLimit.Limited(2), false, new PauseRequest.None());
+
   /** Guards against requests beyond the limit that an upstream has named. */
   @Test
   void sendsNoMoreThanTheLimitThatAnUpstreamNames() {
@@ -46,7 +51,7 @@
               .computeIfAbsent(s.upstream.id(), u -> new ArrayList<>())
               .add(h.scheduler.nowMillis());
         }
-        s.listener.onRequestLimit(new RequestLimit.Limited(2));
+        s.listener.onNotice(LIMIT);
         s.respond(200, "ok");
       }
     }
@@ -160,7 +165,7 @@
   void refusesAtOnceAndSpreadsTheTimesToComeBack() {
     ForwardHarness h = new ForwardHarness(RetryPolicy.REPEATABLE, false, 2, 1);
     h.serve(ForwardHarness.plain("/a/x", "key"));
-    h.last().listener.onRequestLimit(new RequestLimit.Limited(2));
+    h.last().listener.onNotice(LIMIT);
     h.last().respond(200, "ok");
     List<Long> times = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.RequestLimit;
@@ -16,6 +17,7 @@
 class LoadExchangeTest {
 
   private final List<Long> peerVersions = new ArrayList<>();
+  private final List<LeavingUpstream> peerLeaving = new ArrayList<>();
   private long version;
   private int daemonCount = 2;
 
@@ -53,6 +55,20 @@
     assertThat(peerVersions).containsExactly(9L);
   }
 
+  /** Guards against a daemon that sends to an upstream of which another knows that it leaves. */
+  @Test
+  void tellsOthersOfLeavingUpstream() {
+    LoadExchange a = daemon("a", "b");
+    daemon("b");
+    LeavingUpstream instance = new LeavingUpstream("u", "10.0.0.1:80", 7);
+    a.announceLeaving(instance);
+    scheduler.run(LoadExchange.REPORT_DELAY_MILLIS);
+    assertThat(peerLeaving).containsExactly(instance);
+    // Repeated for some time, since a datagram may be lost.
+    scheduler.run(2 * LoadExchange.ANNOUNCE_LEAVING_MILLIS);
+    assertThat(peerLeaving.size()).isBetween(3, 8);
+  }
+
   private LoadExchange daemon(String name, String... peers) {
     LoadExchange e =
         new LoadExchange(
@@ -61,7 +77,17 @@
             new LoadExchange.Identity(name + ".1", name),
             () -> daemonCount,
             () -> version,
-            v -> peerVersions.add(v));
+            new LoadExchange.PeerListener() {
+              @Override
+              public void onVersion(long v) {
+                peerVersions.add(v);
+              }
+
+              @Override
+              public void onLeaving(LeavingUpstream instance) {
+                peerLeaving.add(instance);
+              }
+            });
     e.start();
     e.onPeers(List.of(peers));
     return e;
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -13,13 +13,15 @@
  *     if it has confirmed none
  * @param entries upstreams at which the daemon has requests
  * @param limits upstreams that have named a limit
+ * @param leaving upstreams that have said lately that they are shutting down
  */
 public record LoadReport(
     String sender,
     long sequence,
     long configurationVersion,
     List<Entry> entries,
-    List<UpstreamLimits.Report> limits) {
+    List<UpstreamLimits.Report> limits,
+    List<LeavingUpstream> leaving) {
 
   /**
    * Load on one upstream.
@@ -34,5 +36,6 @@
   public LoadReport {
     entries = List.copyOf(entries);
     limits = List.copyOf(limits);
+    leaving = List.copyOf(leaving);
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -26,7 +26,11 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Number of leaving instances above which those that are no longer listed are forgotten. */
+  private static final int MAX_LEAVING = 2_000;
+
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
+  private final Set<LeavingUpstream> leaving = new HashSet<>();
   private final Map<String, Long> graceEndMillisById = new HashMap<>();
   private long storeRegainedAtMillis = NEVER;
 
@@ -50,6 +54,20 @@
     return !entry.equals(entries.put(entry.id(), entry));
   }
 
+  /**
+   * Records that an instance has said that it is shutting down. It gets no new requests, whatever
+   * its entry says, until another instance is listed in its place.
+   *
+   * @param instance the instance
+   * @return true if that was not known
+   */
+  public boolean onLeaving(LeavingUpstream instance) {
+    if (leaving.size() >= MAX_LEAVING) {
+      leaving.removeIf(l -> find(l.id()).filter(e -> LeavingUpstream.of(e).equals(l)).isEmpty());
+    }
+    return leaving.add(instance);
+  }
+
   /**
    * Removes an entry, after the grace period if one is running and the upstream is not leaving.
    *
@@ -63,7 +81,7 @@
     if (e == null) {
       return false;
     }
-    if (nowMillis < graceEnd && !e.leaving()) {
+    if (nowMillis < graceEnd && !e.leaving() && !isKnownToLeave(e)) {
       graceEndMillisById.put(id, graceEnd);
       return false;
     }
@@ -112,13 +130,17 @@
     removeExpired(nowMillis);
     List<UpstreamEntry> result = new ArrayList<>();
     for (UpstreamEntry e : entries.values()) {
-      if (e.service().equals(service) && !e.leaving()) {
+      if (e.service().equals(service) && !e.leaving() && !isKnownToLeave(e)) {
         result.add(e);
       }
     }
     return result;
   }
 
+  private boolean isKnownToLeave(UpstreamEntry entry) {
+    return !leaving.isEmpty() && leaving.contains(LeavingUpstream.of(entry));
+  }
+
   /**
    * Finds an upstream.
    *
--- a/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
@@ -10,7 +10,7 @@
   private final PeerLoads loads = new PeerLoads();
 
   private static LoadReport report(String sender, long sequence, LoadReport.Entry... entries) {
-    return new LoadReport(sender, sequence, 0, List.of(entries), List.of());
+    return new LoadReport(sender, sequence, 0, List.of(entries), List.of(), List.of());
   }
 
   private static LoadReport.Entry entry(String upstream, int requests, long tokens) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -20,6 +20,7 @@
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LinkUse;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.http.TrafficListener;
@@ -166,7 +167,7 @@
             new LoadExchange.Identity(settings.incarnation(), formatAddress(settings.peers())),
             fleet::daemonCount,
             this::confirmedVersion,
-            fleet::onPeerVersion);
+            new PeerListener());
     this.crashes =
         new UpstreamCrashes(scheduler, loadTransport, formatAddress(settings.peers()), decisions);
     this.forwarder =
@@ -343,6 +344,21 @@
     }
   }
 
+  private final class PeerListener implements LoadExchange.PeerListener {
+
+    @Override
+    public void onVersion(long version) {
+      fleet.onPeerVersion(version);
+    }
+
+    @Override
+    public void onLeaving(LeavingUpstream instance) {
+      if (fleet.upstreams().onLeaving(instance)) {
+        decisions.record("upstream_leaving", Map.of("upstream", instance.id(), "source", "daemon"));
+      }
+    }
+  }
+
   private final class FleetListener implements FleetFollower.Listener {
 
     @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -81,7 +81,7 @@
       return;
     }
     List<HeaderField> fields = HeaderFields.endToEnd(response);
-    dialect.requestLimit(response.getCode(), fields).ifPresent(sink.listener::onRequestLimit);
+    dialect.notice(response.getCode(), fields).ifPresent(sink.listener::onNotice);
     UpstreamDialect.ResponseCheck check =
         dialect.checkResponse(request, response.getCode(), fields);
     if (check instanceof UpstreamDialect.ResponseCheck.Rejected rejected) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -24,6 +24,7 @@
 import org.hibiscusreel.coordination.forward.LoadTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.crash.CrashReport;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamLimits;
@@ -54,6 +55,8 @@
   private static final int HEADER_FIELDS = 3;
   private static final int FIELDS_PER_ENTRY = 3;
   private static final int FIELDS_PER_LIMIT = 4;
+  private static final int FIELDS_PER_LEAVING = 3;
+  private static final int MAX_ARRAYS = 2;
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
 
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
@@ -131,8 +134,9 @@
 
   /**
    * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
-   * tokens, upstream, ...]}, with an array of {@code [upstream, limit or null, age, sent requests]}
-   * at the end if upstreams have named limits.
+   * tokens, upstream, ...]}. Two arrays may follow: one of {@code [upstream, limit or null, age,
+   * sent requests]} if upstreams have named limits or are leaving, and one of {@code [upstream,
+   * address, start]} if upstreams are leaving.
    */
   private static byte[] write(LoadReport report) {
     ArrayNode fields = JsonBodies.MAPPER.createArrayNode();
@@ -140,7 +144,7 @@
     for (LoadReport.Entry entry : report.entries()) {
       fields.add(entry.upstream()).add(entry.requests()).add(entry.pendingPrefillTokens());
     }
-    if (!report.limits().isEmpty()) {
+    if (!report.limits().isEmpty() || !report.leaving().isEmpty()) {
       ArrayNode limits = fields.addArray();
       for (UpstreamLimits.Report r : report.limits()) {
         ArrayNode limit = limits.addArray().add(r.upstream());
@@ -148,12 +152,22 @@
         limit.add(r.ageMillis()).add(r.sent());
       }
     }
+    if (!report.leaving().isEmpty()) {
+      ArrayNode leaving = fields.addArray();
+      for (LeavingUpstream l : report.leaving()) {
+        leaving.addArray().add(l.id()).add(l.address()).add(l.startedAtMillis());
+      }
+    }
     return JsonBodies.write(fields);
   }
 
   private static LoadReport read(JsonNode fields) throws IOException {
-    boolean hasLimits = fields.path(fields.size() - 1).isArray();
-    int size = hasLimits ? fields.size() - 1 : fields.size();
+    int size = fields.size();
+    while (size > HEADER_FIELDS
+        && fields.size() - size < MAX_ARRAYS
+        && fields.get(size - 1).isArray()) {
+      size--;
+    }
     if (!fields.isArray()
         || size < HEADER_FIELDS
         || (size - HEADER_FIELDS) % FIELDS_PER_ENTRY != 0) {
@@ -172,7 +186,8 @@
         JsonBodies.wholeNumber(fields.get(1), Long.MAX_VALUE),
         JsonBodies.wholeNumber(fields.get(2), Long.MAX_VALUE),
         entries,
-        hasLimits ? readLimits(fields.get(size)) : List.of());
+        readLimits(fields.path(size)),
+        readLeaving(fields.path(size + 1)));
   }
 
   private static List<UpstreamLimits.Report> readLimits(JsonNode limits) throws IOException {
@@ -195,6 +210,21 @@
     return result;
   }
 
+  private static List<LeavingUpstream> readLeaving(JsonNode leaving) throws IOException {
+    List<LeavingUpstream> result = new ArrayList<>();
+    for (JsonNode l : leaving) {
+      if (l.size() < FIELDS_PER_LEAVING) {
+        throw new IOException("a leaving upstream in a load report is incomplete");
+      }
+      result.add(
+          new LeavingUpstream(
+              JsonBodies.text(l.get(0)),
+              JsonBodies.text(l.get(1)),
+              JsonBodies.wholeNumber(l.get(2), Long.MAX_VALUE)));
+    }
+    return result;
+  }
+
   /**
    * Parses the address of another daemon, which may come from another writer. A host name is not
    * looked up, since that would block the event loop.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamDialect.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamDialect.java
@@ -5,8 +5,8 @@
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.UpstreamTransport.UpstreamRequest;
 import org.hibiscusreel.core.forward.AttemptOutcome;
-import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 
 /** Converts between the types of the forwarder and the HTTP messages of upstreams. */
 public interface UpstreamDialect {
@@ -40,13 +40,13 @@
   List<HeaderField> headerFields(UpstreamEntry upstream, UpstreamRequest request);
 
   /**
-   * Returns what a response says of the requests that its upstream takes.
+   * Returns what a response says of its upstream.
    *
    * @param status HTTP status
    * @param fields end-to-end header fields
-   * @return the limit, or empty if the response is not from the upstream that was asked
+   * @return the notice, or empty if the response is not from the upstream that was asked
    */
-  Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields);
+  Optional<UpstreamNotice> notice(int status, List<HeaderField> fields);
 
   /**
    * Checks the status and header fields of a response.
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
@@ -26,8 +26,8 @@
 import org.hibiscusreel.coordination.port.ReadResult;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
-import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -91,7 +91,7 @@
     }
 
     @Override
-    public Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields) {
+    public Optional<UpstreamNotice> notice(int status, List<HeaderField> fields) {
       throw new UnsupportedOperationException();
     }
 
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -36,11 +36,11 @@
 import org.hibiscusreel.core.forward.CallerLimits;
 import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
-import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.core.forward.WeightedService;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.http.TrafficListener;
@@ -120,8 +120,8 @@
     }
 
     @Override
-    public Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields) {
-      return Optional.of(new RequestLimit.Unlimited());
+    public Optional<UpstreamNotice> notice(int status, List<HeaderField> fields) {
+      return Optional.of(UpstreamNotice.NONE);
     }
 
     @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -18,8 +18,10 @@
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.PauseRequest;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.loop.RawServer;
 import org.hibiscusreel.daemon.loop.TestLoop;
@@ -49,10 +51,11 @@
     }
 
     @Override
-    public Optional<RequestLimit> requestLimit(int status, List<HeaderField> fields) {
+    public Optional<UpstreamNotice> notice(int status, List<HeaderField> fields) {
       return fields.stream()
           .filter(f -> f.name().equalsIgnoreCase("Limit"))
           .map(f -> RequestLimit.parse(Optional.of(f.value())))
+          .map(l -> new UpstreamNotice(l, false, new PauseRequest.None()))
           .findFirst();
     }
 
@@ -72,8 +75,8 @@
   private final UpstreamTransport.Listener listener =
       new UpstreamTransport.Listener() {
         @Override
-        public void onRequestLimit(RequestLimit limit) {
-          received.add(limit.toString());
+        public void onNotice(UpstreamNotice notice) {
+          received.add(notice.limit().toString());
         }
 
         @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hibiscusreel.core.crash.Block;
 import org.hibiscusreel.core.crash.CrashReport;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.loop.TestLoop;
@@ -28,7 +29,8 @@
 class UdpLoadTransportTest {
 
   private static final LoadReport REPORT =
-      new LoadReport("a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)), List.of());
+      new LoadReport(
+          "a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)), List.of(), List.of());
 
   private final TestLoop loop = new TestLoop();
   private final InetSocketAddress first = freeAddress();
@@ -92,7 +94,27 @@
             List.of(new LoadReport.Entry("u", 2, 900)),
             List.of(
                 new UpstreamLimits.Report("u", OptionalDouble.of(1.8), 120, 57),
-                new UpstreamLimits.Report("v", OptionalDouble.empty(), 40, 3)));
+                new UpstreamLimits.Report("v", OptionalDouble.empty(), 40, 3)),
+            List.of());
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
+    assertThat(next()).isEqualTo(report);
+  }
+
+  /** Guards against a notice that is lost because the report has no limits or no load. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void carriesLeavingUpstreams(boolean hasLimits) throws InterruptedException {
+    start();
+    LoadReport report =
+        new LoadReport(
+            "a.1",
+            8,
+            12,
+            List.of(),
+            hasLimits
+                ? List.of(new UpstreamLimits.Report("u", OptionalDouble.of(1.8), 120, 57))
+                : List.of(),
+            List.of(new LeavingUpstream("u", "10.0.0.1:80", 1_790_000_000_000L)));
     loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
     assertThat(next()).isEqualTo(report);
   }
