Let many daemons draw prepaid tokens of one account without blocking each other

Cause: at the size of the large deployment every daemon replaces the row of each account one to two times a second, also when only its ceiling changes, and expects a version that others have replaced meanwhile. The store runs the transactions of an account one after another, also those that fail, so that its queue was full of attempts that could not succeed.

Change: a ceiling is declared in the row of the host alone, which no other daemon writes. Changes of the drawn tokens without which no request waits are collected for the interval that is the daemon's share of the store's writes. A daemon reads the row again before it writes it if the account is contended, and pauses after conflicts for a random time that doubles with each. Requests that could not draw in time count as demand. On small fleets a low budget is declared as often as before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
@@ -59,6 +60,30 @@
    */
   static final long HELD_ELSEWHERE_FACTOR = 4;
 
+  /**
+   * Number of declaration intervals after which a daemon with free tokens refreshes the totals, so
+   * that the reads of a large fleet stay few. A low budget is refreshed after a fraction of one.
+   */
+  private static final int REFRESH_DECLARATIONS = 2;
+
+  /**
+   * Longest pause after the second conflict in a row, in durations of a transaction. Two daemons
+   * fail only if one begins while the transaction of the other is under way.
+   */
+  private static final int CONFLICT_PAUSE_CALLS = 4;
+
+  /** Least value in milliseconds of the longest pause after the second conflict in a row. */
+  private static final long MIN_CONFLICT_PAUSE_MILLIS = 20;
+
+  /** Age of ceilings in milliseconds above which the fleet is large for the store. */
+  private static final long CONTENDED_CEILING_AGE_MILLIS = PrepaidBudgets.REBALANCE_INTERVAL_MILLIS;
+
+  /**
+   * Age in milliseconds up to which the row of a contended account counts as current. A transaction
+   * that expects an older one takes up the time of the store and fails.
+   */
+  private static final long FRESH_MILLIS = 4;
+
   /** Delay in milliseconds before rows that can't be used are read again. */
   static final long UNUSABLE_RETRY_MILLIS = 1_000;
 
@@ -79,6 +104,10 @@
   private boolean isOwner;
   private boolean isFenced;
   private long rowsReadAtMillis;
+  private long declaredAtMillis = Long.MIN_VALUE / 2;
+  private long transactionBeganAtMillis;
+  private long callMillis; // duration of the last transaction
+  private int conflicts; // in a row, of transactions that replace the row of the account
   private boolean rowsCurrent;
   private boolean outcomeUnknown;
   private boolean callInProgress;
@@ -137,6 +166,7 @@
             timeoutMillis,
             () -> {
               waiters.remove(self[0]);
+              allotment.addDemand(tokens, scheduler.nowMillis());
               outcome.complete(new Outcome.Unavailable("no answer of the table in time"));
             });
     self[0] = new Waiter(tokens, outcome, timer);
@@ -181,8 +211,14 @@
       return;
     }
     long change = desiredChange();
-    if (change == 0 && !outcomeUnknown && !needsWrite()) {
-      onNothingToChange();
+    if (!mustDeclare(change)) {
+      if (needsCeiling()) {
+        renew();
+      } else {
+        onNothingToChange();
+      }
+    } else if (isContended() && scheduler.nowMillis() - rowsReadAtMillis > FRESH_MILLIS) {
+      readTotal();
     } else if (rows.isConsistent()) {
       readAgain = false;
       transact(change);
@@ -196,14 +232,36 @@
   }
 
   /**
-   * Returns whether the row of this host must be written although the drawn tokens don't change.
+   * Returns whether the row of the account must be written too. All daemons write it, and only one
+   * of several transactions at the same time succeeds, so changes without which no request waits
+   * are collected.
    */
-  private boolean needsWrite() {
-    if (isFenced) {
-      return false;
+  private boolean mustDeclare(long change) {
+    if (isFenced || outcomeUnknown || isTakeoverPending()) {
+      return outcomeUnknown || !isFenced;
     }
-    return isTakeoverPending()
-        || allotment.needsCeiling(
+    boolean isUrgent =
+        !waiters.isEmpty()
+            || closeFuture != null
+            || change > allotment.free()
+            || rows.total().drawn() > prepaid;
+    if (isUrgent || (isLow() && !isContended())) {
+      return change != 0 || (!isUrgent && needsCeiling());
+    }
+    long interval = isLow() ? lowRefreshIntervalMillis() : declarationIntervalMillis();
+    long age = scheduler.nowMillis() - declaredAtMillis;
+    boolean isUndeclared = committed() != rows.holder().committed();
+    return change > 0 ? age >= interval : age >= 2 * interval && (change < 0 || isUndeclared);
+  }
+
+  private long declarationIntervalMillis() {
+    return 2 * maxCeilingAgeMillis.getAsLong();
+  }
+
+  /** Returns whether the row of this host must be written although its tokens don't change. */
+  private boolean needsCeiling() {
+    return !isFenced
+        && allotment.needsCeiling(
             waitingTokens(),
             maxCeilingAgeMillis.getAsLong(),
             scheduler.nowMillis(),
@@ -289,14 +347,36 @@
     return heldByAll - (rows.holder().drawn() - rows.holder().committed());
   }
 
+  private boolean isLow() {
+    return prepaid - committedByAll() < prepaid / LOW_BUDGET_DIVISOR;
+  }
+
+  private long lowRefreshIntervalMillis() {
+    return Math.max(LOW_BUDGET_REFRESH_INTERVAL_MILLIS, maxCeilingAgeMillis.getAsLong());
+  }
+
   private void refreshTotal() {
-    boolean isLow = prepaid - committedByAll() < prepaid / LOW_BUDGET_DIVISOR;
-    long maxAge = isLow ? LOW_BUDGET_REFRESH_INTERVAL_MILLIS : REFRESH_INTERVAL_MILLIS;
+    long maxAge =
+        isLow()
+            ? lowRefreshIntervalMillis()
+            : Math.max(REFRESH_INTERVAL_MILLIS, REFRESH_DECLARATIONS * declarationIntervalMillis());
     boolean isOld = scheduler.nowMillis() - rowsReadAtMillis >= maxAge && allotment.free() > 0;
     // After a failure, read regardless of age: only a response shows that the table is available.
     if (closeFuture != null || (failureReason.isEmpty() && !isOld)) {
       return;
     }
+    readTotal();
+  }
+
+  /**
+   * Returns whether other daemons probably have written the row of the account since it was read:
+   * they preceded the last transaction of this daemon, or they are many.
+   */
+  private boolean isContended() {
+    return conflicts > 0 || maxCeilingAgeMillis.getAsLong() > CONTENDED_CEILING_AGE_MILLIS;
+  }
+
+  private void readTotal() {
     callInProgress = true;
     var unused =
         table
@@ -360,12 +440,27 @@
       onUnusableRows("a conflict without a changed row");
     } else if (update instanceof AllotmentRows.Update.Applied a) {
       onRowsUsable(a.changed());
-      rebalance();
+      if (isConflict && conflicts > 1) {
+        retryAfter(conflictPauseMillis());
+      } else {
+        rebalance();
+      }
     } else if (update instanceof AllotmentRows.Update.Unusable u) {
       onUnusableRows(u.reason());
     }
   }
 
+  /**
+   * Returns the pause before the next of several transactions that other daemons preceded. Without
+   * different pauses, each round of many daemons has one that succeeds.
+   */
+  private long conflictPauseMillis() {
+    long first = Math.max(MIN_CONFLICT_PAUSE_MILLIS, CONFLICT_PAUSE_CALLS * callMillis);
+    long longest = Math.min(declarationIntervalMillis(), first << Math.min(conflicts - 2, 10));
+    long spread = Objects.hash(incarnation, account, conflicts, scheduler.nowMillis());
+    return 1 + Math.floorMod((spread * 0x9E3779B97F4A7C15L) >>> 32, longest);
+  }
+
   /**
    * Draws nothing until the rows were read again and can be used. What was drawn before stays
    * usable under its ceilings: the rows of the store included it when it was drawn.
@@ -423,6 +518,46 @@
     failureReason = "";
   }
 
+  /**
+   * Declares a new ceiling in the row of this host alone, which no other daemon writes. The totals
+   * keep what this daemon has declared last.
+   */
+  private void renew() {
+    callInProgress = true;
+    long now = scheduler.nowMillis();
+    AllotmentRows.HolderRow holder = rows.holder();
+    AllotmentRows.HolderRow next =
+        new AllotmentRows.HolderRow(
+            incarnation,
+            holder.drawn(),
+            allotment.spent(),
+            holder.committed(),
+            allotment.requests(),
+            holder.wanted(),
+            allotment.wanted(now),
+            allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+    allotment.beginChange(0, next.ceiling());
+    transactionBeganAtMillis = now;
+    var unused = table.transact(rows.renew(next)).thenAccept(w -> onRenewed(w, next));
+  }
+
+  private void onRenewed(WriteResult result, AllotmentRows.HolderRow next) {
+    callInProgress = false;
+    log(result, 0, next);
+    if (result instanceof WriteResult.Committed c) {
+      rows.onRenewed(next, c.versions().get(0));
+      isOwner = true;
+      resolve();
+      failureReason = "";
+      serveWaiters();
+      if (!waiters.isEmpty() || closeFuture != null) {
+        rebalance();
+      }
+    } else {
+      onNotWritten(result);
+    }
+  }
+
   private void transact(long change) {
     callInProgress = true;
     long now = scheduler.nowMillis();
@@ -438,6 +573,7 @@
             wanted,
             allotment.nextCeiling(waitingTokens(), now, clock.millis()));
     allotment.beginChange(change, next.ceiling());
+    transactionBeganAtMillis = now;
     var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, change, next));
   }
 
@@ -447,6 +583,8 @@
     if (result instanceof WriteResult.Committed c) {
       final boolean isTakenOver = isTakeoverPending();
       rows.onCommitted(next, c.versions());
+      declaredAtMillis = scheduler.nowMillis();
+      conflicts = conflicts > 1 ? 1 : 0;
       unusableReason = "";
       isOwner = true;
       outcomeUnknown = false;
@@ -456,7 +594,15 @@
       if (isTakenOver || !waiters.isEmpty() || closeFuture != null) {
         rebalance();
       }
-    } else if (result instanceof WriteResult.Conflict c) {
+    } else {
+      onNotWritten(result);
+    }
+  }
+
+  private void onNotWritten(WriteResult result) {
+    if (result instanceof WriteResult.Conflict c) {
+      conflicts++;
+      callMillis = scheduler.nowMillis() - transactionBeganAtMillis;
       applyRows(c.rows(), true);
     } else {
       if (result instanceof WriteResult.Unknown) {
@@ -496,9 +642,13 @@
       closeFuture.complete(null);
       return;
     }
+    retryAfter(RETRY_DELAY_MILLIS);
+  }
+
+  private void retryAfter(long delayMillis) {
     retryScheduled = true;
     scheduler.schedule(
-        RETRY_DELAY_MILLIS,
+        delayMillis,
         () -> {
           retryScheduled = false;
           rebalance();
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AllotmentRows.java
@@ -9,8 +9,8 @@
 
 /**
  * Last known content of the two rows that a daemon writes for one client account: the row of the
- * account with the totals of all hosts, and the row of this host. Both are replaced in one
- * transaction that expects both versions, so the totals always match the rows of the hosts.
+ * account with the totals of all hosts, and the row of this host. What the totals sum up is changed
+ * in one transaction that expects both versions, so the totals always match the rows of the hosts.
  */
 final class AllotmentRows {
 
@@ -200,6 +200,20 @@
         Mutation.replace(holderKey, holderVersion, Json.write(next)));
   }
 
+  /**
+   * Returns the transaction that replaces only the row of this host. Fields that the row of the
+   * account sums up keep their last declared values.
+   */
+  List<Mutation> renew(HolderRow next) {
+    return List.of(Mutation.replace(holderKey, holderVersion, Json.write(next)));
+  }
+
+  /** Updates the known content after the row of this host alone was replaced. */
+  void onRenewed(HolderRow next, long version) {
+    holder = next;
+    holderVersion = version;
+  }
+
   /** Updates the known content after the transaction was committed. */
   void onCommitted(HolderRow next, List<Long> versions) {
     total = total.with(holder, next);
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -73,13 +73,24 @@
       return false;
     }
     reserved += tokens;
+    addDemand(tokens, nowMillis);
+    return true;
+  }
+
+  /**
+   * Counts a request for the tokens to hold, whether or not they were reserved. Without it, a
+   * daemon that draws too late for its first requests would not draw for the next ones.
+   *
+   * @param tokens most that the request can consume
+   * @param nowMillis monotonic time in milliseconds
+   */
+  public void addDemand(long tokens, long nowMillis) {
     if (demand == null) {
       // Measures demand from the first request on, so that an earlier idle time does not lower the
       // rate.
       demand = new RequestDemand(nowMillis);
     }
     demand.add(tokens, nowMillis);
-    return true;
   }
 
   /**
