Answer every request that a stopping daemon has passed on

Cause: at the end of the grace period the process ended with requests in progress, so that their connections closed without an answer, also those of requests that may not be repeated. Requests on connections that had been opened before were read and passed on until the end.

Before the process ends, each request in progress is ended: refused if it has not run, 504 if it may have run, broken off if a part of its stream was sent; the answers have 150 ms to leave.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -461,18 +461,27 @@
   }
 
   private void onTimeout() {
+    end("time is over");
+  }
+
+  /** Ends the request because the process ends. */
+  void endAtStop() {
+    end("the daemon is stopping");
+  }
+
+  private void end(String reason) {
     if (ended) {
       return;
     }
     boolean running = attempt != null;
-    cancelAttempt("time is over");
+    cancelAttempt(reason);
     if (streamPosition.isPresent()) {
       caller.abort();
-      finish("aborted: time is over", false);
+      finish("aborted: " + reason, false);
     } else if (running || mayHaveRun) {
-      refuse(Refusal.Kind.TIMED_OUT, 0, "time is over");
+      refuse(Refusal.Kind.TIMED_OUT, 0, reason);
     } else {
-      refuse(Refusal.Kind.NOT_RUN, RETRY_AFTER_MILLIS, "time is over");
+      refuse(Refusal.Kind.NOT_RUN, RETRY_AFTER_MILLIS, reason);
     }
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -31,6 +31,9 @@
   /** Retry advice in milliseconds while no configuration is known. */
   static final long UNCONFIGURED_RETRY_AFTER_MILLIS = 500;
 
+  /** Retry advice in milliseconds while the daemon stops; other daemons serve the caller. */
+  static final long STOPPING_RETRY_AFTER_MILLIS = 100;
+
   /** Retry advice in milliseconds while the configuration is outdated; other daemons know more. */
   static final long OUTDATED_RETRY_AFTER_MILLIS = 300;
 
@@ -64,6 +67,7 @@
   private final UpstreamPauses pauses = new UpstreamPauses();
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
+  private boolean stopping;
   private long refused;
   private long served;
 
@@ -122,7 +126,10 @@
    */
   public Handle serve(CallerRequest request, CallerExchange exchange) {
     Optional<ForwardingTable> table = fleet.table();
-    Optional<Refusal> refusal = table.isEmpty() ? Optional.of(notConfigured()) : checkLag();
+    Optional<Refusal> refusal = checkStop();
+    if (refusal.isEmpty()) {
+      refusal = table.isEmpty() ? Optional.of(notConfigured()) : checkLag();
+    }
     Optional<Route> route = table.flatMap(t -> t.route(request.host(), request.path()));
     Optional<AccountSettings> account = table.flatMap(t -> request.key().flatMap(t::account));
     if (refusal.isEmpty()) {
@@ -150,6 +157,27 @@
         public void onWritable() {}
       };
 
+  /** Refuses all requests from now on; those in progress go on. */
+  public void stopAccepting() {
+    stopping = true;
+  }
+
+  /**
+   * Ends all requests in progress, each with an answer that is true: refused if it has not run,
+   * without a statement if it may have run, and broken off if the caller has a part of the stream.
+   */
+  public void endAll() {
+    List.copyOf(running).forEach(ForwardTask::endAtStop);
+  }
+
+  private Optional<Refusal> checkStop() {
+    return stopping
+        ? Optional.of(
+            new Refusal(
+                Refusal.Kind.NOT_RUN, STOPPING_RETRY_AFTER_MILLIS, "the daemon is stopping"))
+        : Optional.empty();
+  }
+
   private Optional<Refusal> checkLag() {
     long lagMillis = fleet.configurationLagMillis();
     return lagMillis <= settings.configurationBoundMillis()
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -43,6 +43,9 @@
    */
   static final long EXIT_RESERVE_MILLIS = 1_200;
 
+  /** Time in milliseconds in which the last answers are sent before the process ends. */
+  static final long LAST_ANSWERS_MILLIS = 150;
+
   /**
    * Connect timeout for upstreams. An upstream in the same region accepts a connection within a few
    * milliseconds unless it is down.
@@ -308,6 +311,8 @@
   }
 
   private void stopServing(long exitAt) {
+    // A request that comes later could hardly end within the grace period.
+    forwarder.stopAccepting();
     server.stop();
     awaitRequests(exitAt);
   }
@@ -317,11 +322,16 @@
       scheduler.schedule(DRAIN_POLL_INTERVAL_MILLIS, () -> awaitRequests(exitAt));
       return;
     }
+    decisions.record("stopped", Map.of("unfinished", forwarder.inProgress()));
+    forwarder.endAll();
+    scheduler.schedule(LAST_ANSWERS_MILLIS, this::stopServices);
+  }
+
+  private void stopServices() {
     fleet.stop();
     loadExchange.stop();
     crashes.stop();
     loadTransport.stop();
-    decisions.record("stopped", Map.of("unfinished", forwarder.inProgress()));
     var unused = budgets.stop().thenAccept(v -> completeStop());
   }
 
