Read the sockets once more before a request is sent on

Cause: a daemon that falls behind reads a request and the end of its connection in the same turn of its loop and sent the request on first.

Change: the end of a caller's connection is detected before the request is passed to the forwarder, and two delays of 1 ms guarantee a read of the sockets in between.

Result: ForwardServerTest sends 20 requests and closes while the loop is busy; a part of them reached the upstream before, none now.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -49,18 +49,27 @@
     return response;
   }
 
+  /** Begins to detect that the caller disconnects. Must be called once, after the body was read. */
+  void detectDisconnect() {
+    connection.setDisconnectTask(this::onDisconnected);
+  }
+
+  /** Returns whether the response is complete or the caller has disconnected. */
+  boolean isEnded() {
+    return isEnded;
+  }
+
   /** Sets the forwarding task, which is notified when the caller disconnects. */
   void setTask(Forwarder.Handle task) {
     handle = task;
-    if (!isEnded) {
-      connection.setDisconnectTask(this::onDisconnected);
-    }
   }
 
   private void onDisconnected() {
     if (!isEnded) {
       isEnded = true;
-      handle.onCallerDisconnected();
+      if (handle != null) {
+        handle.onCallerDisconnected();
+      }
     }
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -38,9 +38,13 @@
   /** Largest request body that is read, in bytes; the configuration may set a lower limit. */
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+  /** Shortest delay of a task in milliseconds that is not due at once. */
+  private static final long READ_DELAY_MILLIS = 1;
+
   private static final Refusal CLOSING =
       new Refusal(Refusal.Kind.NOT_RUN, 0, "the connection is being closed");
 
+  private final Scheduler scheduler;
   private final Forwarder forwarder;
   private final CallerDialect dialect;
   private final BooleanSupplier isReady;
@@ -69,6 +73,7 @@
       CallerDialect dialect,
       BooleanSupplier isReady,
       TrafficListener traffic) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
     this.isReady = Objects.requireNonNull(isReady, "isReady");
@@ -139,11 +144,27 @@
         .then(
             body -> {
               CallerRequest parsed = read(request, body.getArray());
-              answer.setTask(forwarder.serve(parsed, answer));
+              answer.detectDisconnect();
+              afterNextRead(() -> forward(parsed, answer));
               return answer.response();
             });
   }
 
+  /**
+   * Runs a task after the event loop has read all sockets once more. If the loop was busy, the end
+   * of a connection may have arrived together with its request. The first delay may end in the
+   * current turn of the loop, the second one begins after it.
+   */
+  private void afterNextRead(Runnable task) {
+    scheduler.schedule(READ_DELAY_MILLIS, () -> scheduler.schedule(READ_DELAY_MILLIS, task));
+  }
+
+  private void forward(CallerRequest request, CallerResponseWriter answer) {
+    if (!answer.isEnded()) {
+      answer.setTask(forwarder.serve(request, answer));
+    }
+  }
+
   private byte[] pipelinedRefusal() {
     CallerDialect.RefusalResponse refusal = dialect.write(CLOSING);
     StringBuilder text = new StringBuilder("HTTP/1.1 " + refusal.status() + " Not Served\r\n");
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -295,6 +295,44 @@
     }
   }
 
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Guards against requests that are sent on after their callers have left, because the daemon was
+   * busy while they came and reads the end of the connection only after the request.
+   */
+  @Test
+  void sendsNothingOnForCallersThatLeftWhileTheLoopWasBusy() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    List<Socket> callers = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      callers.add(connect());
+    }
+    // The connections are accepted before the loop is busy.
+    loop.run(() -> {});
+    Thread.sleep(100);
+    CountDownLatch isBusy = new CountDownLatch(1);
+    loop.eventloop()
+        .execute(
+            () -> {
+              isBusy.countDown();
+              sleep(300);
+            });
+    assertThat(isBusy.await(5, TimeUnit.SECONDS)).isTrue();
+    for (Socket s : callers) {
+      send(s, request("/plain/x"));
+      s.close();
+    }
+    Thread.sleep(1_000);
+    assertThat(upstream.requestLines()).isEmpty();
+  }
+
   /** Guards against a response that is neither the upstream's nor a refusal. */
   @ParameterizedTest
   @ValueSource(strings = {"127.0.0.1:70000", "127.0.0.1:x", "127.0.0.1:"})
