--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/JsonDecisionLog.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/JsonDecisionLog.java
@@ -23,6 +23,9 @@
 
   private static final long STOP_TIMEOUT_MILLIS = 500;
 
+  /** Age of what was never known; its field is left out. */
+  private static final Long UNKNOWN_AGE = Long.MAX_VALUE;
+
   private final ObjectMapper mapper = new ObjectMapper();
   private final BlockingQueue<Map<String, Object>> queue =
       new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
@@ -72,6 +75,7 @@
     line.put("incarnation", incarnation);
     line.put("event", event);
     line.putAll(fields);
+    line.values().removeIf(UNKNOWN_AGE::equals);
     if (!queue.offer(line)) {
       dropped.incrementAndGet();
     }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/JsonDecisionLogTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/JsonDecisionLogTest.java
@@ -28,6 +28,19 @@
             "{\"at_ms\":5,\"incarnation\":\"d.1\",\"event\":\"request\",\"id\":\"a\\n\\\"b\"}\n");
   }
 
+  /** Guards against an age of 292 million years of what was never known. */
+  @Test
+  void leavesUnknownAgesOut() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    JsonDecisionLog log =
+        new JsonDecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), "d.1", () -> 5);
+    log.start();
+    log.record("store_lost", Map.of("age_ms", Long.MAX_VALUE));
+    log.stop();
+    assertThat(out.toString(StandardCharsets.UTF_8))
+        .isEqualTo("{\"at_ms\":5,\"incarnation\":\"d.1\",\"event\":\"store_lost\"}\n");
+  }
+
   /** Guards against decisions that block while the output is not read. */
   @Test
   @Timeout(20)
