--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -57,7 +57,7 @@
 
   /**
    * A request that finds too few undrawn tokens is asked to retry if the other daemons hold at
-   * least this many times its tokens, since they return their surplus within 1 to 2 seconds.
+   * least this many times its tokens, since they return their surplus within seconds.
    */
   static final long HELD_ELSEWHERE_FACTOR = 4;
 
