--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -76,6 +76,9 @@
   /** Least value in milliseconds of the longest pause after the second conflict in a row. */
   private static final long MIN_CONFLICT_PAUSE_MILLIS = 20;
 
+  /** Odd number with evenly spread bits: hashes that differ little give very different pauses. */
+  private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
+
   /** Number of daemons above which another one has probably written the row of an account. */
   private static final int MAX_UNCONTENDED_DAEMONS = 16;
 
@@ -463,7 +466,7 @@
     long first = Math.max(MIN_CONFLICT_PAUSE_MILLIS, CONFLICT_PAUSE_CALLS * callMillis);
     long longest = Math.min(declarationIntervalMillis(), first << Math.min(conflicts - 2, 10));
     long spread = Objects.hash(incarnation, account, conflicts, scheduler.nowMillis());
-    return 1 + Math.floorMod((spread * 0x9E3779B97F4A7C15L) >>> 32, longest);
+    return 1 + Math.floorMod((spread * HASH_MULTIPLIER) >>> Integer.SIZE, longest);
   }
 
   /**
--- a/core/src/main/java/org/hibiscusreel/core/forward/PauseRequest.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/PauseRequest.java
@@ -1,13 +1,11 @@
 package org.hibiscusreel.core.forward;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** What a refusal says of the time for which its upstream wants no requests of this daemon. */
 public sealed interface PauseRequest {
 
-  /** Longest part of an invalid time that is kept, in characters. */
-  int MAX_SHOWN_LENGTH = 40;
-
   /**
    * Longest pause in milliseconds. A mistaken time must not keep an upstream unused for the rest of
    * its life.
@@ -41,9 +39,9 @@
     if (text.isEmpty()) {
       return new None();
     }
-    String number = text.get().strip();
-    return RequestLimit.DECIMAL.matcher(number).matches()
-        ? new Pause((long) Math.min(MAX_MILLIS, Math.ceil(Double.parseDouble(number) * 1_000)))
-        : new Invalid(number.substring(0, Math.min(number.length(), MAX_SHOWN_LENGTH)));
+    OptionalDouble seconds = DecimalText.parse(text.get());
+    return seconds.isPresent()
+        ? new Pause((long) Math.min(MAX_MILLIS, Math.ceil(seconds.getAsDouble() * 1_000)))
+        : new Invalid(DecimalText.shorten(text.get()));
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/RequestLimit.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/RequestLimit.java
@@ -1,17 +1,11 @@
 package org.hibiscusreel.core.forward;
 
 import java.util.Optional;
-import java.util.regex.Pattern;
+import java.util.OptionalDouble;
 
 /** What a response says about the requests that its upstream takes from all daemons together. */
 public sealed interface RequestLimit {
 
-  /** Longest part of an invalid limit that is kept, in characters. */
-  int MAX_SHOWN_LENGTH = 40;
-
-  /** Form of a limit: a decimal number without sign or exponent. */
-  Pattern DECIMAL = Pattern.compile("\\d{1,30}(\\.\\d{0,30})?|\\.\\d{1,30}");
-
   /** Largest limit in requests per second; larger ones mean the same. */
   double MAX_PER_SECOND = 1_000_000;
 
@@ -42,9 +36,9 @@
     if (text.isEmpty()) {
       return new Unlimited();
     }
-    String number = text.get().strip();
-    return DECIMAL.matcher(number).matches()
-        ? new Limited(Math.min(MAX_PER_SECOND, Double.parseDouble(number)))
-        : new Invalid(number.substring(0, Math.min(number.length(), MAX_SHOWN_LENGTH)));
+    OptionalDouble perSecond = DecimalText.parse(text.get());
+    return perSecond.isPresent()
+        ? new Limited(Math.min(MAX_PER_SECOND, perSecond.getAsDouble()))
+        : new Invalid(DecimalText.shorten(text.get()));
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -56,7 +56,10 @@
   private static final int FIELDS_PER_ENTRY = 3;
   private static final int FIELDS_PER_LIMIT = 4;
   private static final int FIELDS_PER_LEAVING = 3;
+
+  /** Number of arrays at the end of a report: the limits and the leaving upstreams. */
   private static final int MAX_ARRAYS = 2;
+
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
 
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
