--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -167,6 +167,8 @@
       lastReadMillis = elapsedMillis(call);
     }
     if (call.isFullRead() && c.position() < position) {
+      log.record(
+          "stale_read", Map.of("table", table, "position", c.position(), "known", position));
       onStaleRead();
       return;
     }
