Follow a store that was restored from an older copy

Cause: FeedFollower kept its position and took each read below it for an outdated one, until the counter had passed the position again; with a counter that passes it before the next poll, the changes in between are skipped without a sign. The class: the order of two versions of the store taken as known although they belong to different states of it.

Change: the store's ports name its era (RestorableStore), which StoreClient reads from Store-Era. A response of an earlier era, or without one that can be read once one was named, counts as a failure. In a new era a follower forgets its position and reads again. An upstream that had said that it leaves stays unused although the copy lists it as ready, one that was removed stays unused until it writes its row again, and entries that the copy lacks have the usual grace.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -11,7 +11,10 @@
 import org.hibiscusreel.coordination.port.ChangeFeed.Change;
 import org.hibiscusreel.coordination.port.Scheduler;
 
-/** Follows the rows of one table across outages of the store and loss of its change history. */
+/**
+ * Follows the rows of one table across outages of the store, loss of its change history and its
+ * restoration from an older copy.
+ */
 final class FeedFollower {
 
   /**
@@ -29,6 +32,9 @@
     /** Called when the store responds again after failed calls. */
     void onStoreAvailable();
 
+    /** Called when the store was restored from an older copy, before its rows are read again. */
+    default void onStoreRestored() {}
+
     /** Called with all rows of the table. */
     void onFullRead(List<Change> rows);
 
@@ -66,6 +72,7 @@
   private final Listener listener;
   private Cancellable nextCall = () -> {};
   private long position = NO_POSITION;
+  private long era; // to which the position belongs
   private boolean needsFullRead = true;
   private boolean prefersFullRead;
   private boolean isConfirmed;
@@ -151,7 +158,14 @@
     }
     cancelCalls();
     onResponse();
-    if (result instanceof ChangeFeed.Result.HistoryLost) {
+    boolean isRestored = feed.era() != era;
+    if (isRestored) {
+      onRestored();
+    }
+    if (isRestored && !call.isFullRead()) {
+      // Its position was that of another state of the store.
+      scheduleCall(0);
+    } else if (result instanceof ChangeFeed.Result.HistoryLost) {
       needsFullRead = true;
       log.record("history_lost", Map.of("table", table, "position", position));
       // After an unconfirmed read, the store still answers reads from before the lost history.
@@ -161,14 +175,30 @@
     }
   }
 
+  /** Forgets the position, which says nothing about the changes of the new era. */
+  private void onRestored() {
+    boolean wasKnown = position != NO_POSITION;
+    if (wasKnown) {
+      log.record(
+          "store_restored",
+          Map.of("table", table, "position", position, "era", feed.era(), "before", era));
+    }
+    era = feed.era();
+    position = NO_POSITION;
+    needsFullRead = true;
+    isConfirmed = false;
+    if (wasKnown) {
+      notifyListener(listener::onStoreRestored);
+    }
+  }
+
   private void onRows(Call call, ChangeFeed.Result.Changes c) {
     prefersFullRead = !call.isFullRead() && isOutpaced(call, c);
     if (call.isFullRead()) {
       lastReadMillis = elapsedMillis(call);
     }
     if (call.isFullRead() && c.position() < position) {
-      log.record(
-          "stale_read", Map.of("table", table, "position", c.position(), "known", position));
+      log.record("stale_read", Map.of("table", table, "position", c.position(), "known", position));
       onStaleRead();
       return;
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -19,6 +19,7 @@
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.ConfigurationLag;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
@@ -82,6 +83,13 @@
      */
     void onUpstreamsRemoved(List<String> ids);
 
+    /**
+     * Called when the store was restored from an older copy.
+     *
+     * @param leaving upstreams that are known to be shutting down, whatever the copy says
+     */
+    default void onStoreRestored(List<LeavingUpstream> leaving) {}
+
     /**
      * Called with the other daemons after each count.
      *
@@ -315,6 +323,12 @@
     @Override
     public void onStoreAvailable() {}
 
+    /** A configuration that was confirmed stays in force while the copy has an older one. */
+    @Override
+    public void onStoreRestored() {
+      listener.onStoreRestored(List.of());
+    }
+
     @Override
     public void onFullRead(List<Change> all) {
       applyNewest(all);
@@ -333,6 +347,13 @@
       upstreams.onStoreRegained(scheduler.nowMillis());
     }
 
+    @Override
+    public void onStoreRestored() {
+      List<LeavingUpstream> leaving = upstreams.onStoreRestored(scheduler.nowMillis());
+      registerHost();
+      listener.onStoreRestored(leaving);
+    }
+
     @Override
     public void onFullRead(List<Change> all) {
       List<UpstreamEntry> entries = new ArrayList<>();
@@ -366,6 +387,7 @@
         }
         unusableUpstreams.onUsable(c.key());
         if (value instanceof RowValue.Present<UpstreamEntry> p) {
+          upstreams.onWritten(LeavingUpstream.of(p.value()));
           put(p.value());
         } else if (upstreams.remove(c.key(), scheduler.nowMillis())) {
           removed.add(c.key());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -204,9 +204,10 @@
    * at another daemon.
    */
   Refusal toTrueRefusal(Refusal denial) {
-    return fleet.configurationAgeMillis() <= settings.configurationBoundMillis()
-        ? denial
-        : outdated(denial.detail());
+    boolean isCurrent =
+        fleet.configurationLagMillis() == 0
+            && fleet.configurationAgeMillis() <= settings.configurationBoundMillis();
+    return isCurrent ? denial : outdated(denial.detail());
   }
 
   private static Optional<Refusal> checkRouteAndKey(
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -262,8 +262,12 @@
     return peerLoads;
   }
 
-  /** Tells the other daemons that an upstream has said that it is leaving. */
-  void announceLeaving(LeavingUpstream instance) {
+  /**
+   * Tells the other daemons that an upstream has said that it is leaving.
+   *
+   * @param instance the upstream
+   */
+  public void announceLeaving(LeavingUpstream instance) {
     announcedUntilMillis.put(instance, scheduler.nowMillis() + ANNOUNCE_LEAVING_MILLIS);
     scheduleReport();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
@@ -8,7 +8,7 @@
  * Change feed of the tables in the platform's store. Futures complete on the event loop and never
  * exceptionally, unless the caller cancels them, which abandons the call.
  */
-public interface ChangeFeed {
+public interface ChangeFeed extends RestorableStore {
 
   /**
    * A row that was written or deleted.
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/TableService.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/TableService.java
@@ -7,7 +7,7 @@
  * The platform's transactional table service. Futures complete on the event loop and never
  * exceptionally.
  */
-public interface TableService {
+public interface TableService extends RestorableStore {
 
   /** Largest number of rows of one transaction or read. */
   int MAX_ROWS = 100;
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -26,13 +26,26 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /**
+   * Time after a restoration of the store during which the row of an upstream that had been removed
+   * before is taken for that of the copy, in milliseconds. The row of an upstream that has ended is
+   * removed again after three heartbeats, which take less than four seconds; one that still runs
+   * writes its row anew.
+   */
+  public static final long COPIED_ROW_MILLIS = 10_000;
+
+  /** Age in milliseconds from which on a removal is older than any copy of the store. */
+  private static final long MAX_COPY_AGE_MILLIS = 60_000;
+
   /** Number of leaving instances above which those that are no longer listed are forgotten. */
   private static final int MAX_LEAVING = 2_000;
 
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Set<LeavingUpstream> leaving = new HashSet<>();
   private final Map<String, Long> graceEndMillisById = new HashMap<>();
+  private final Map<LeavingUpstream, Long> removedAtMillis = new LinkedHashMap<>();
   private long storeRegainedAtMillis = NEVER;
+  private long storeRestoredAtMillis = NEVER;
 
   /**
    * Records that the store is available again after an outage.
@@ -43,6 +56,35 @@
     storeRegainedAtMillis = nowMillis;
   }
 
+  /**
+   * Records that the store was restored from an older copy. An upstream that had said that it is
+   * shutting down gets no new requests although the copy may list it as before, and one that was
+   * removed gets none until it writes its entry again. Entries that the copy lacks are missing
+   * until their upstreams write them again.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @return the instances that are known to be shutting down
+   */
+  public List<LeavingUpstream> onStoreRestored(long nowMillis) {
+    storeRegainedAtMillis = nowMillis;
+    storeRestoredAtMillis = nowMillis;
+    removedAtMillis.values().removeIf(at -> nowMillis - at > MAX_COPY_AGE_MILLIS);
+    entries.values().stream()
+        .filter(UpstreamEntry::leaving)
+        .forEach(e -> onLeaving(LeavingUpstream.of(e)));
+    return List.copyOf(leaving);
+  }
+
+  /**
+   * Records that an upstream has written its entry while the store was followed, so that the entry
+   * is not that of an older copy.
+   *
+   * @param instance the upstream
+   */
+  public void onWritten(LeavingUpstream instance) {
+    removedAtMillis.remove(instance);
+  }
+
   /**
    * Adds or replaces an entry.
    *
@@ -87,9 +129,22 @@
     }
     graceEndMillisById.remove(id);
     entries.remove(id);
+    onRemoved(e, nowMillis);
     return true;
   }
 
+  /** Remembers a removal, since an older copy of the store would undo it. */
+  private void onRemoved(UpstreamEntry entry, long nowMillis) {
+    LeavingUpstream instance = LeavingUpstream.of(entry);
+    if (entry.leaving()) {
+      onLeaving(instance);
+    }
+    if (removedAtMillis.size() >= MAX_LEAVING) {
+      removedAtMillis.remove(removedAtMillis.keySet().iterator().next());
+    }
+    removedAtMillis.put(instance, nowMillis);
+  }
+
   /**
    * Removes an entry without a grace period.
    *
@@ -130,13 +185,23 @@
     removeExpired(nowMillis);
     List<UpstreamEntry> result = new ArrayList<>();
     for (UpstreamEntry e : entries.values()) {
-      if (e.service().equals(service) && !e.leaving() && !isKnownToLeave(e)) {
+      if (e.service().equals(service)
+          && !e.leaving()
+          && !isKnownToLeave(e)
+          && !isCopied(e, nowMillis)) {
         result.add(e);
       }
     }
     return result;
   }
 
+  /** Returns whether an entry was removed before the store was restored, and not written since. */
+  private boolean isCopied(UpstreamEntry entry, long nowMillis) {
+    return nowMillis - storeRestoredAtMillis < COPIED_ROW_MILLIS
+        && removedAtMillis.getOrDefault(LeavingUpstream.of(entry), Long.MAX_VALUE)
+            < storeRestoredAtMillis;
+  }
+
   private boolean isKnownToLeave(UpstreamEntry entry) {
     return !leaving.isEmpty() && leaving.contains(LeavingUpstream.of(entry));
   }
@@ -170,7 +235,8 @@
             e -> {
               boolean isDue = e.getValue() <= nowMillis;
               if (isDue) {
-                entries.remove(e.getKey());
+                Optional.ofNullable(entries.remove(e.getKey()))
+                    .ifPresent(entry -> onRemoved(entry, nowMillis));
               }
               return isDue;
             });
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -102,6 +103,27 @@
       Map<HttpHeader, String> headers,
       byte[] body,
       long timeoutMillis) {
+    return call(method, url, headers, body, timeoutMillis, List.of());
+  }
+
+  /**
+   * Calls a server and waits for the complete response with some of its header fields.
+   *
+   * @param method HTTP method
+   * @param url URL with an IP address as its host
+   * @param headers headers to send
+   * @param body body to send, or null for none
+   * @param timeoutMillis time to wait for the complete response, in milliseconds
+   * @param responseFields header fields of the response to return
+   * @return the outcome; cancelling it closes the connection that was opened for the call
+   */
+  public CompletableFuture<HttpResult> call(
+      HttpMethod method,
+      String url,
+      Map<HttpHeader, String> headers,
+      byte[] body,
+      long timeoutMillis,
+      List<HttpHeader> responseFields) {
     Exchange exchange = open(method, url, headers, body);
     CompletableFuture<HttpResult> future = new CompletableFuture<>();
     ScheduledRunnable timer =
@@ -117,7 +139,10 @@
             });
     exchange
         .response()
-        .then(r -> r.loadBody(MAX_RESPONSE_SIZE).map(buf -> toResult(r, buf.getArray())))
+        .then(
+            r ->
+                r.loadBody(MAX_RESPONSE_SIZE)
+                    .map(buf -> toResult(r, responseFields, buf.getArray())))
         .whenResult(future::complete)
         .whenException(e -> future.complete(exchange.toFailure(String.valueOf(e))));
     var unused =
@@ -222,10 +247,18 @@
     }
   }
 
-  private static HttpResult toResult(HttpResponse response, byte[] body) {
+  private static HttpResult toResult(
+      HttpResponse response, List<HttpHeader> responseFields, byte[] body) {
     String type = response.getHeader(HttpHeaders.CONTENT_TYPE);
+    Map<HttpHeader, String> fields = new HashMap<>();
+    for (HttpHeader f : responseFields) {
+      String value = response.getHeader(f);
+      if (value != null) {
+        fields.put(f, value);
+      }
+    }
     return new HttpResult.Responded(
-        response.getCode(), type == null ? "" : type, retryAfterMillis(response), body);
+        response.getCode(), type == null ? "" : type, retryAfterMillis(response), fields, body);
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpResult.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpResult.java
@@ -1,5 +1,8 @@
 package org.hibiscusreel.daemon.http;
 
+import io.activej.http.HttpHeader;
+import java.util.Map;
+
 /** Outcome of an HTTP call. */
 public sealed interface HttpResult {
 
@@ -9,9 +12,16 @@
    * @param status HTTP status
    * @param contentType content type of the body, or empty
    * @param retryAfterMillis value of {@code Retry-After} in milliseconds, 0 if absent
+   * @param fields other header fields that the caller asked for, by the name that it used; absent
+   *     ones are left out
    * @param body the body
    */
-  record Responded(int status, String contentType, long retryAfterMillis, byte[] body)
+  record Responded(
+      int status,
+      String contentType,
+      long retryAfterMillis,
+      Map<HttpHeader, String> fields,
+      byte[] body)
       implements HttpResult {
 
     /**
