Keep budgets over a store that was restored from an older copy

Cause: AccountBudget believed the rows of the copy. The row of the account lacked what all hosts had drawn since the copy, all daemons drew from it in the first 100 ms, and a host whose daemon had ended since was counted by its older row.

Change: each era of the store has rows of its own, so that a late write of an earlier era changes nothing. A daemon first declares what it certainly holds and goes on to spend it. Three seconds later the row of the account is computed from all of them, and draws go on.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -11,7 +12,9 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets.Outcome;
+import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.ReadResult;
 import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -31,6 +34,12 @@
  * takes over the row with all tokens that the previous one can't have consumed until its end. It
  * had ended before this daemon sent its first call to the store, because this daemon had bound the
  * address of its readiness before, which a process holds until it ends.
+ *
+ * <p>When the store is restored from an older copy, its rows lack what was drawn since. Each era of
+ * the store has its own rows: a daemon first declares what it holds, and nobody draws before all
+ * had the time to do so. The rows of hosts whose daemons have ended are declared by daemons that
+ * keep a copy of them, or are taken from the store as it is. From all of them the row of the
+ * account is computed.
  */
 final class AccountBudget {
 
@@ -88,9 +97,19 @@
    */
   private static final long FRESH_MILLIS = 4;
 
+  /** Largest number of rows of one account that are read in one call. */
+  private static final int MAX_SCANNED_ROWS = 500;
+
   /** Delay in milliseconds before rows that can't be used are read again. */
   static final long UNUSABLE_RETRY_MILLIS = 1_000;
 
+  /**
+   * Least time in milliseconds between the first response of a new era and the first draw. Within
+   * it, each daemon that reaches the store notices the era, as a call without a response is
+   * followed by another one after {@link FeedFollower#OVERDUE_MILLIS}.
+   */
+  static final long MIN_DECLARATION_MILLIS = 3_000;
+
   /** Where rows come from, which tells what they prove about pending writes. */
   private enum RowSource {
     /** The row of the account was read alone. */
@@ -104,13 +123,16 @@
   private record Waiter(long tokens, CompletableFuture<Outcome> outcome, Cancellable timer) {}
 
   private final String account;
+  private final String host;
   private final String incarnation;
-  private final AllotmentRows rows;
+  private AllotmentRows rows;
   private final TableService table;
   private final Scheduler scheduler;
   private final StoreClock clock;
   private final IntSupplier daemons;
   private final LongSupplier maxCeilingAgeMillis;
+  private final LongSupplier eraBeganAtMillis;
+  private final HolderCopies copies;
   private final DecisionLog log;
   private final AccountAllotment allotment = new AccountAllotment();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
@@ -118,6 +140,7 @@
   private boolean rowsKnown;
   private boolean isOwner;
   private boolean isFenced;
+  private boolean isUndeclared; // whether the row of this host lacks what this daemon holds
   private long rowsReadAtMillis;
   private long declaredAtMillis = Long.MIN_VALUE / 2;
   private long transactionBeganAtMillis;
@@ -127,6 +150,7 @@
   private final PendingWrites pendingWrites = new PendingWrites();
   private boolean callInProgress;
   private boolean retryScheduled;
+  private Cancellable retry = () -> {};
   private boolean readAgain; // whether both rows were read once more because they disagreed
   private String failureReason = "";
   private String unusableReason = "";
@@ -142,10 +166,15 @@
       StoreClock clock,
       IntSupplier daemons,
       LongSupplier maxCeilingAgeMillis,
+      LongSupplier eraBeganAtMillis,
+      HolderCopies copies,
       DecisionLog log) {
     this.account = account;
+    this.host = host;
     this.incarnation = incarnation;
-    this.rows = new AllotmentRows(account, host);
+    this.rows = new AllotmentRows(account, host, table.era());
+    this.eraBeganAtMillis = eraBeganAtMillis;
+    this.copies = copies;
     this.table = table;
     this.scheduler = scheduler;
     this.clock = clock;
@@ -208,6 +237,7 @@
       if (scheduler.nowMillis() < unusableUntilMillis) {
         closeFuture.complete(null);
       } else if (!callInProgress) {
+        cancelRetry();
         rebalance();
       }
     }
@@ -216,6 +246,7 @@
 
   /** Draws tokens or returns surplus tokens as the demand requires. */
   void rebalance() {
+    followEra();
     if (callInProgress || retryScheduled || scheduler.nowMillis() < unusableUntilMillis) {
       return;
     }
@@ -223,6 +254,10 @@
       readBothRows();
       return;
     }
+    if (isUndeclared) {
+      replaceWith(toHolder(allotment.held()), 0);
+      return;
+    }
     if (isTakeoverPending() && !inherit()) {
       onFailure("the time of the store at the start of this process is not known yet");
       return;
@@ -248,6 +283,95 @@
     }
   }
 
+  /**
+   * Changes to the rows of the era of the store. What this daemon holds it goes on to hold, less
+   * what writes without a known outcome may have taken away; they can't change the new rows.
+   */
+  private void followEra() {
+    if (table.era() == rows.era()) {
+      return;
+    }
+    rows = new AllotmentRows(account, host, table.era());
+    cancelRetry();
+    allotment.assumeWorst();
+    pendingWrites.clear();
+    isUndeclared = isOwner && !isFenced;
+    rowsKnown = false;
+    rowsCurrent = false;
+    readAgain = false;
+    conflicts = 0;
+    unusableUntilMillis = Long.MIN_VALUE;
+    log.record(
+        "allotment_era",
+        Map.of("account", account, "era", rows.era(), "held", isUndeclared ? allotment.held() : 0));
+  }
+
+  /**
+   * Goes on from all rows of the account while nobody has written the row of the account since the
+   * store was restored.
+   */
+  private void onAccountUntotalled(List<Row> found) {
+    if (isUndeclared && rows.holderVersion() == 0) {
+      AllotmentRows.HolderRow next = toHolder(allotment.held());
+      renewWith(rows.declareOwn(next), next);
+      return;
+    }
+    long remaining = eraBeganAtMillis.getAsLong() + declarationMillis() - scheduler.nowMillis();
+    if (remaining > 0) {
+      onFailure("the store was restored and other daemons declare what they hold", remaining);
+      return;
+    }
+    try {
+      RestoredHolders holders = RestoredHolders.of(account, rows, found, copies.all());
+      if (holders.undeclared().isEmpty()) {
+        rows.computeTotal(holders);
+        onRowsUsable(RowSource.BOTH);
+        rebalance();
+      } else {
+        callInProgress = true;
+        log.record(
+            "allotment_declared",
+            Map.of("account", account, "hosts", holders.undeclared().keySet()));
+        var unused =
+            table.transact(rows.declareAll(holders.undeclared())).thenAccept(this::onHostsDeclared);
+      }
+    } catch (IOException e) {
+      onUnusableRows(RowValue.shorten(e.getMessage(), RowValue.MAX_REASON_LENGTH));
+    }
+  }
+
+  private void onHostsDeclared(WriteResult result) {
+    callInProgress = false;
+    if (result instanceof WriteResult.Committed || result instanceof WriteResult.Conflict) {
+      rebalance();
+    } else {
+      onFailure(result.toString());
+    }
+  }
+
+  /**
+   * Returns the time in milliseconds that daemons have to declare what they hold. In a large fleet
+   * their writes alone take longer.
+   */
+  private long declarationMillis() {
+    return Math.max(MIN_DECLARATION_MILLIS, maxCeilingAgeMillis.getAsLong());
+  }
+
+  /** Returns the row that declares what this daemon holds. */
+  private AllotmentRows.HolderRow toHolder(long drawn) {
+    long now = scheduler.nowMillis();
+    long wanted = allotment.wanted(now);
+    return new AllotmentRows.HolderRow(
+        incarnation,
+        drawn,
+        allotment.spent(),
+        committed() + waitingTokens(),
+        allotment.requests(),
+        closeFuture == null ? wanted : 0,
+        wanted,
+        allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+  }
+
   /**
    * Returns whether the row of the account must be written too. All daemons write it, and only one
    * of several transactions at the same time succeeds, so changes without which no request waits
@@ -396,13 +520,16 @@
 
   private void readTotal() {
     callInProgress = true;
+    AllotmentRows asked = rows;
     var unused =
         table
             .read(List.of(rows.totalKey()))
             .thenAccept(
                 r -> {
                   callInProgress = false;
-                  if (r instanceof ReadResult.Rows total) {
+                  if (isOutdated(asked)) {
+                    rebalance();
+                  } else if (r instanceof ReadResult.Rows total) {
                     applyRows(total.rows(), RowSource.TOTAL);
                   } else {
                     onFailure(r.toString());
@@ -428,20 +555,30 @@
    */
   private void readBothRows() {
     callInProgress = true;
-    var unused = table.read(List.of(rows.totalKey())).thenAccept(this::onTotalRead);
-  }
-
-  private void onTotalRead(ReadResult total) {
-    if (total instanceof ReadResult.Rows t) {
-      var unused = table.read(List.of(rows.holderKey())).thenAccept(h -> onBothRead(t.rows(), h));
+    AllotmentRows asked = rows;
+    var unused = table.read(List.of(rows.totalKey())).thenAccept(t -> onTotalRead(asked, t));
+  }
+
+  private void onTotalRead(AllotmentRows asked, ReadResult total) {
+    if (isOutdated(asked) || !(total instanceof ReadResult.Rows t)) {
+      onBothRead(asked, List.of(), total);
+    } else if (t.rows().isEmpty() && rows.era() > 0) {
+      String prefix = AllotmentRows.prefix(account);
+      var unused =
+          table
+              .scan(prefix, "", MAX_SCANNED_ROWS)
+              .thenAccept(all -> onBothRead(asked, List.of(), all));
     } else {
-      onBothRead(List.of(), total);
+      var unused =
+          table.read(List.of(rows.holderKey())).thenAccept(h -> onBothRead(asked, t.rows(), h));
     }
   }
 
-  private void onBothRead(List<Row> total, ReadResult holder) {
+  private void onBothRead(AllotmentRows asked, List<Row> total, ReadResult holder) {
     callInProgress = false;
-    if (holder instanceof ReadResult.Rows h) {
+    if (isOutdated(asked)) {
+      rebalance();
+    } else if (holder instanceof ReadResult.Rows h) {
       List<Row> found = new ArrayList<>(total);
       found.addAll(h.rows());
       applyRows(found, RowSource.BOTH);
@@ -450,11 +587,25 @@
     }
   }
 
+  /** Returns whether rows belong to an earlier era, so that a result for them says nothing. */
+  private boolean isOutdated(AllotmentRows asked) {
+    followEra();
+    return asked != rows;
+  }
+
   /** Applies rows that were read and goes on, or waits if one of them can't be used. */
   private void applyRows(List<Row> found, RowSource source) {
     final boolean isConflict = source == RowSource.CONFLICT;
     AllotmentRows.Update update = rows.update(found);
-    if (update instanceof AllotmentRows.Update.Applied a && isConflict && !a.changed()) {
+    if (isConflict && rows.isTotalOfEraAbsent()) {
+      // Another daemon has declared its row, so that the sums are outdated.
+      rowsKnown = false;
+      rebalance();
+    } else if (update instanceof AllotmentRows.Update.Applied
+        && source == RowSource.BOTH
+        && rows.isTotalOfEraAbsent()) {
+      onAccountUntotalled(found);
+    } else if (update instanceof AllotmentRows.Update.Applied a && isConflict && !a.changed()) {
       // A row that was removed is missing from the conflict; trying again at once would not end.
       onUnusableRows("a conflict without a changed row");
     } else if (update instanceof AllotmentRows.Update.Applied) {
@@ -503,14 +654,18 @@
   private void onRowsUsable(RowSource source) {
     AllotmentRows.HolderRow holder = rows.holder();
     final boolean wasOwner = isOwner;
-    isOwner = holder.incarnation().equals(incarnation);
+    if (!isUndeclared) {
+      isOwner = holder.incarnation().equals(incarnation);
+    }
     if (wasOwner && !isOwner) {
       onFenced(holder.incarnation());
     }
     // The row of the account alone does not show whether a write of this daemon changed it.
     if (source != RowSource.TOTAL) {
       pendingWrites.onVersions(rows.totalVersion(), rows.holderVersion());
-      resolve();
+      if (!isUndeclared) {
+        resolve();
+      }
     }
     rowsKnown = true;
     onRowsRead();
@@ -544,7 +699,6 @@
    * keep what this daemon has declared last.
    */
   private void renew() {
-    callInProgress = true;
     long now = scheduler.nowMillis();
     AllotmentRows.HolderRow holder = rows.holder();
     AllotmentRows.HolderRow next =
@@ -557,8 +711,14 @@
             holder.wanted(),
             allotment.wanted(now),
             allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+    renewWith(rows.renew(next), next);
+  }
+
+  private void renewWith(List<Mutation> changes, AllotmentRows.HolderRow next) {
+    callInProgress = true;
+    AllotmentRows asked = rows;
     PendingWrites.Write write = begin(PendingWrites.ANY_VERSION, 0, next.ceiling());
-    var unused = table.transact(rows.renew(next)).thenAccept(w -> onRenewed(w, write, next));
+    var unused = table.transact(changes).thenAccept(w -> onRenewed(asked, w, write, next));
   }
 
   private PendingWrites.Write begin(long totalVersion, long change, SpendingCeiling ceiling) {
@@ -571,17 +731,20 @@
   }
 
   private void onRenewed(
-      WriteResult result, PendingWrites.Write write, AllotmentRows.HolderRow next) {
+      AllotmentRows asked,
+      WriteResult result,
+      PendingWrites.Write write,
+      AllotmentRows.HolderRow next) {
     callInProgress = false;
     log(result, 0, next);
-    if (result instanceof WriteResult.Committed c) {
+    if (isOutdated(asked)) {
+      rebalance();
+    } else if (result instanceof WriteResult.Committed c) {
       rows.onRenewed(next, c.versions().get(0));
-      pendingWrites.clear();
-      isOwner = true;
-      resolve();
+      onOwnRowWritten();
       failureReason = "";
       serveWaiters();
-      if (!waiters.isEmpty() || closeFuture != null) {
+      if (!rowsKnown || !waiters.isEmpty() || closeFuture != null) {
         rebalance();
       }
     } else {
@@ -590,36 +753,47 @@
   }
 
   private void transact(long change) {
+    replaceWith(toHolder(rows.holder().drawn() + change), change);
+  }
+
+  /**
+   * Replaces the row of this host and updates the sums of the account.
+   *
+   * @param change change of what this daemon holds
+   */
+  private void replaceWith(AllotmentRows.HolderRow next, long change) {
     callInProgress = true;
-    long now = scheduler.nowMillis();
-    long wanted = allotment.wanted(now);
-    AllotmentRows.HolderRow next =
-        new AllotmentRows.HolderRow(
-            incarnation,
-            rows.holder().drawn() + change,
-            allotment.spent(),
-            committed() + waitingTokens(),
-            allotment.requests(),
-            closeFuture == null ? wanted : 0,
-            wanted,
-            allotment.nextCeiling(waitingTokens(), now, clock.millis()));
+    AllotmentRows asked = rows;
     PendingWrites.Write write = begin(rows.totalVersion(), change, next.ceiling());
-    var unused = table.transact(rows.replace(next)).thenAccept(w -> onWritten(w, write, next));
+    var unused =
+        table.transact(rows.replace(next)).thenAccept(w -> onWritten(asked, w, write, next));
+  }
+
+  private void onOwnRowWritten() {
+    pendingWrites.clear();
+    isOwner = true;
+    isUndeclared = false;
+    resolve();
+    copies.publish(
+        new HolderCopy(account, host, rows.era(), rows.holderVersion(), Json.write(rows.holder())));
   }
 
   private void onWritten(
-      WriteResult result, PendingWrites.Write write, AllotmentRows.HolderRow next) {
+      AllotmentRows asked,
+      WriteResult result,
+      PendingWrites.Write write,
+      AllotmentRows.HolderRow next) {
     callInProgress = false;
     log(result, write.change(), next);
-    if (result instanceof WriteResult.Committed c) {
+    if (isOutdated(asked)) {
+      rebalance();
+    } else if (result instanceof WriteResult.Committed c) {
       final boolean isTakenOver = isTakeoverPending();
       rows.onCommitted(next, c.versions());
       declaredAtMillis = scheduler.nowMillis();
       conflicts = conflicts > 1 ? 1 : 0;
       unusableReason = "";
-      pendingWrites.clear();
-      isOwner = true;
-      resolve();
+      onOwnRowWritten();
       onRowsRead();
       serveWaiters();
       if (isTakenOver || !waiters.isEmpty() || closeFuture != null) {
@@ -639,7 +813,9 @@
       callMillis = scheduler.nowMillis() - transactionBeganAtMillis;
       applyRows(c.rows(), RowSource.CONFLICT);
     } else {
-      resolve();
+      if (!isUndeclared) {
+        resolve();
+      }
       onFailure(result.toString());
     }
   }
@@ -666,23 +842,33 @@
   }
 
   private void onFailure(String reason) {
+    onFailure(reason, RETRY_DELAY_MILLIS);
+  }
+
+  private void onFailure(String reason, long delayMillis) {
     failureReason = reason;
     refuseWaiters(new Outcome.Unavailable(reason));
     if (closeFuture != null) {
       closeFuture.complete(null);
       return;
     }
-    retryAfter(RETRY_DELAY_MILLIS);
+    retryAfter(delayMillis);
+  }
+
+  private void cancelRetry() {
+    retry.cancel();
+    retryScheduled = false;
   }
 
   private void retryAfter(long delayMillis) {
     retryScheduled = true;
-    scheduler.schedule(
-        delayMillis,
-        () -> {
-          retryScheduled = false;
-          rebalance();
-        });
+    retry =
+        scheduler.schedule(
+            delayMillis,
+            () -> {
+              retryScheduled = false;
+              rebalance();
+            });
   }
 
   private void completeClose() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
+import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.core.forward.AccountSettings;
 
 /**
@@ -63,8 +66,11 @@
   private final Identity identity;
   private final double writesPerSecond;
   private final IntSupplier daemons;
+  private final HolderCopies copies;
   private final DecisionLog log;
   private final Map<String, AccountBudget> budgets = new HashMap<>();
+  private long era;
+  private long eraBeganAtMillis;
   private boolean stopped;
 
   /**
@@ -76,6 +82,7 @@
    * @param identity identity of this daemon
    * @param writesPerSecond write rate that the store accepts from all daemons together
    * @param daemons number of daemons that share the budgets
+   * @param copies rows that other daemons keep for this one, and this one for them
    * @param log receives each change of the held tokens
    * @throws NullPointerException if an argument is null
    */
@@ -86,6 +93,7 @@
       Identity identity,
       double writesPerSecond,
       IntSupplier daemons,
+      HolderCopies copies,
       DecisionLog log) {
     this.table = Objects.requireNonNull(table, "table");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
@@ -93,11 +101,13 @@
     this.identity = Objects.requireNonNull(identity, "identity");
     this.writesPerSecond = writesPerSecond;
     this.daemons = Objects.requireNonNull(daemons, "daemons");
+    this.copies = Objects.requireNonNull(copies, "copies");
     this.log = Objects.requireNonNull(log, "log");
   }
 
   /** Starts to rebalance the held tokens periodically. */
   public void start() {
+    copies.start();
     scheduler.schedule(REBALANCE_INTERVAL_MILLIS, this::rebalanceAll);
   }
 
@@ -120,6 +130,7 @@
    * @param accounts all client accounts
    */
   public void updateAccounts(Iterable<AccountSettings> accounts) {
+    followEra();
     accounts.forEach(
         a -> a.prepaidTokens().ifPresent(tokens -> budget(a.name()).setPrepaidTokens(tokens)));
   }
@@ -147,6 +158,60 @@
     budget(account).settle(tokens, used);
   }
 
+  /** Declares what this daemon holds, after the store was restored from an older copy. */
+  public void onStoreRestored() {
+    followEra();
+    budgets.values().forEach(AccountBudget::rebalance);
+  }
+
+  private long eraBeganAtMillis() {
+    followEra();
+    return eraBeganAtMillis;
+  }
+
+  private void followEra() {
+    if (era == table.era()) {
+      return;
+    }
+    // This daemon knows of no other host yet what those know that were there before.
+    final long startMillis = era == 0 ? AccountBudget.MIN_DECLARATION_MILLIS : 0;
+    era = table.era();
+    eraBeganAtMillis = scheduler.nowMillis() + startMillis;
+    final long restored = era;
+    long delayMillis =
+        Math.max(AccountBudget.MIN_DECLARATION_MILLIS, rebalanceIntervalMillis() / 2) / 2;
+    scheduler.schedule(delayMillis, () -> declareOthers(restored));
+  }
+
+  /**
+   * Declares the rows of other hosts that this daemon keeps. The daemons that have written them
+   * have done so before, unless they have ended or don't reach the store.
+   */
+  private void declareOthers(long restored) {
+    if (stopped || restored != table.era()) {
+      return;
+    }
+    for (HolderCopy c : copies.all()) {
+      if (c.era() < restored) {
+        log.record(
+            "allotment_declared", Map.of("account", c.account(), "hosts", List.of(c.host())));
+        var unused =
+            table
+                .transact(AllotmentRows.declareFor(c, restored))
+                .thenAccept(w -> onDeclared(c, restored, w));
+      }
+    }
+  }
+
+  private void onDeclared(HolderCopy copy, long restored, WriteResult result) {
+    if (result instanceof WriteResult.Conflict conflict && restored == table.era()) {
+      Optional<List<Mutation>> newer = AllotmentRows.redeclareFor(copy, restored, conflict.rows());
+      if (newer.isPresent()) {
+        var unused = table.transact(newer.get());
+      }
+    }
+  }
+
   private AccountBudget budget(String account) {
     return budgets.computeIfAbsent(
         account,
@@ -160,6 +225,8 @@
                 clock,
                 daemons,
                 () -> rebalanceIntervalMillis() / 2,
+                this::eraBeganAtMillis,
+                copies,
                 log));
   }
 
@@ -167,6 +234,7 @@
     if (stopped) {
       return;
     }
+    followEra();
     budgets.values().forEach(AccountBudget::rebalance);
     scheduler.schedule(rebalanceIntervalMillis(), this::rebalanceAll);
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetContentionTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetContentionTest.java
@@ -87,6 +87,7 @@
             new PrepaidBudgets.Identity(host, host + ".1"),
             3_200,
             () -> daemons,
+            new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> {});
     b.start();
     List<AccountSettings> accounts = new ArrayList<>();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetRecoveryTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/BudgetRecoveryTest.java
@@ -62,6 +62,7 @@
             new PrepaidBudgets.Identity("h" + host, incarnation),
             600,
             () -> HOSTS,
+            new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> {});
     b.start();
     return b;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -131,6 +131,7 @@
             new PrepaidBudgets.Identity("d", "d.1"),
             800,
             this::daemonCount,
+            new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> {});
     this.crashes = new UpstreamCrashes(scheduler, crashTransport, address, (e, f) -> {});
     this.forwarder =
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LateWritesTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LateWritesTest.java
@@ -76,6 +76,7 @@
             new PrepaidBudgets.Identity("h" + host, incarnation),
             600,
             () -> HOSTS,
+            new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> {});
     b.start();
     b.updateAccounts(
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PrepaidBudgetsTest.java
@@ -58,6 +58,7 @@
             new PrepaidBudgets.Identity(host, incarnation),
             800,
             () -> daemons,
+            new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> logged.add(e));
     b.start();
     return b;
--- a/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
+++ b/core/src/main/java/org/hibiscusreel/core/budget/AccountAllotment.java
@@ -228,6 +228,24 @@
     ceilings.add(ceilingInStore);
   }
 
+  /**
+   * Completes all changes with their worst outcome, since the store that they were sent to is not
+   * the one that is used from now on. The lowest ceiling goes on to apply.
+   */
+  public void assumeWorst() {
+    drawn += pending;
+    pending = 0;
+  }
+
+  /**
+   * Returns the tokens that this daemon certainly holds, including those that it has consumed.
+   *
+   * @return tokens
+   */
+  public long held() {
+    return drawn + pending;
+  }
+
   /**
    * Takes over the allotment of a dead earlier incarnation of this daemon. Its tokens can be used
    * once {@link #resolveChanges} has confirmed them.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -12,6 +12,7 @@
 import org.hibiscusreel.coordination.forward.FleetFollower;
 import org.hibiscusreel.coordination.forward.ForwardSettings;
 import org.hibiscusreel.coordination.forward.Forwarder;
+import org.hibiscusreel.coordination.forward.HolderCopies;
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
@@ -109,6 +110,7 @@
   private final JsonDecisionLog log;
   private final LinkUse link;
   private final FleetFollower fleet;
+  private final HolderCopies holderCopies;
   private final PrepaidBudgets budgets;
   private final UdpLoadTransport loadTransport;
   private final LoadExchange loadExchange;
@@ -153,6 +155,8 @@
             ports.rows(),
             decisions,
             new FleetListener());
+    this.loadTransport = new UdpLoadTransport(reactor, settings.peers());
+    this.holderCopies = new HolderCopies(scheduler, loadTransport, formatAddress(settings.peers()));
     this.budgets =
         new PrepaidBudgets(
             ports.table(),
@@ -161,8 +165,8 @@
             new PrepaidBudgets.Identity(settings.host(), settings.incarnation()),
             settings.storeWritesPerSecond(),
             fleet::daemonCount,
+            holderCopies,
             decisions);
-    this.loadTransport = new UdpLoadTransport(reactor, settings.peers());
     this.loadExchange =
         new LoadExchange(
             scheduler,
@@ -385,6 +389,13 @@
     public void onPeers(List<String> addresses) {
       loadExchange.onPeers(addresses);
       crashes.onPeers(addresses);
+      holderCopies.onPeers(addresses);
+    }
+
+    @Override
+    public void onStoreRestored(List<LeavingUpstream> leaving) {
+      leaving.forEach(loadExchange::announceLeaving);
+      budgets.onStoreRestored();
     }
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.udp.UdpPacket;
 import io.activej.net.socket.udp.UdpSocket;
@@ -21,6 +22,8 @@
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.forward.CrashTransport;
+import org.hibiscusreel.coordination.forward.HolderCopy;
+import org.hibiscusreel.coordination.forward.HolderTransport;
 import org.hibiscusreel.coordination.forward.LoadTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.crash.CrashReport;
@@ -31,11 +34,12 @@
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /**
- * Exchanges load reports and crash reports as JSON datagrams; a load report is an array, a crash
- * report an object. A load report is outdated in less than a second, so retransmission over a
- * connection would only delay the next report. Used only on the thread of the event loop.
+ * Exchanges load reports, crash reports and copies of rows as JSON datagrams; a load report is an
+ * array, a crash report an object, and rows are an object with the field {@code holders}. A load
+ * report is outdated in less than a second, so retransmission over a connection would only delay
+ * the next report. Used only on the thread of the event loop.
  */
-public final class UdpLoadTransport implements LoadTransport, CrashTransport {
+public final class UdpLoadTransport implements LoadTransport, CrashTransport, HolderTransport {
 
   /**
    * Size limit of a report. A larger datagram would be fragmented into many packets, and the loss
@@ -60,6 +64,9 @@
   /** Number of arrays at the end of a report: the limits and the leaving upstreams. */
   private static final int MAX_ARRAYS = 2;
 
+  private static final String HOLDERS = "holders";
+  private static final int FIELDS_PER_HOLDER = 5;
+
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
 
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
@@ -68,6 +75,7 @@
   private UdpSocket socket;
   private Consumer<LoadReport> loadReceiver = r -> {};
   private Consumer<CrashReport> crashReceiver = r -> {};
+  private Consumer<HolderCopy> holderReceiver = c -> {};
   private boolean isReceiving;
   private boolean failureLogged;
 
@@ -116,6 +124,33 @@
     sendBytes(peers, CrashReportFormat.write(report));
   }
 
+  @Override
+  public void sendHolders(List<String> peers, List<HolderCopy> copies) {
+    ObjectNode root = JsonBodies.MAPPER.createObjectNode();
+    ArrayNode holders = root.putArray(HOLDERS);
+    for (HolderCopy c : copies) {
+      holders.addArray().add(c.account()).add(c.host()).add(c.era()).add(c.version()).add(c.row());
+    }
+    sendBytes(peers, JsonBodies.write(root));
+  }
+
+  private static List<HolderCopy> readHolders(JsonNode holders) throws IOException {
+    List<HolderCopy> copies = new ArrayList<>();
+    for (JsonNode h : holders) {
+      if (h.size() < FIELDS_PER_HOLDER) {
+        throw new IOException("a copy of a row is incomplete");
+      }
+      copies.add(
+          new HolderCopy(
+              JsonBodies.text(h.get(0)),
+              JsonBodies.text(h.get(1)),
+              JsonBodies.wholeNumber(h.get(2), Long.MAX_VALUE),
+              JsonBodies.wholeNumber(h.get(3), Long.MAX_VALUE),
+              JsonBodies.text(h.get(4))));
+    }
+    return copies;
+  }
+
   private void sendBytes(List<String> peers, byte[] bytes) {
     if (bytes.length > MAX_REPORT_BYTES) {
       logFailure("a report is too large to send", new IOException(bytes.length + " bytes"));
@@ -262,6 +297,12 @@
     receiveNext();
   }
 
+  @Override
+  public void receiveHolders(Consumer<HolderCopy> receiver) {
+    holderReceiver = receiver;
+    receiveNext();
+  }
+
   private void receiveNext() {
     if (socket == null || isReceiving) {
       return;
@@ -281,7 +322,9 @@
   private void handlePacket(UdpPacket packet) {
     try {
       JsonNode node = JsonBodies.MAPPER.readTree(packet.getBuf().asArray());
-      if (node.isObject()) {
+      if (node.has(HOLDERS)) {
+        readHolders(node.get(HOLDERS)).forEach(holderReceiver);
+      } else if (node.isObject()) {
         crashReceiver.accept(CrashReportFormat.read(node));
       } else {
         loadReceiver.accept(read(node));
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -26,6 +26,7 @@
 import org.hibiscusreel.coordination.forward.ForwardSettings;
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.HeaderField;
+import org.hibiscusreel.coordination.forward.HolderCopies;
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.Refusal;
@@ -201,6 +202,9 @@
         () -> {
           EventLoopScheduler scheduler = new EventLoopScheduler(loop.eventloop());
           Dialect dialect = new Dialect();
+          UdpLoadTransport reports =
+              new UdpLoadTransport(
+                  loop.eventloop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
           PrepaidBudgets budgets =
               new PrepaidBudgets(
                   new UnreachableTableService(),
@@ -209,10 +213,8 @@
                   new PrepaidBudgets.Identity("d", "d.1"),
                   800,
                   () -> 1,
+                  new HolderCopies(scheduler, reports, ""),
                   (e, f) -> {});
-          UdpLoadTransport reports =
-              new UdpLoadTransport(
-                  loop.eventloop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
           Forwarder forwarder =
               new Forwarder(
                   scheduler,
