Go on with a stream only at the version that began it

Cause: the code read the version of an entry nowhere. A daemon that resumed inside one response chose among all upstreams of the service, and a caller that took a stream up reached any of them, at a daemon that knew nothing of the stream. The class: a part of a result combined with one of another producer without a check that the two fit.

Change: entries have the version of their software. Inside one response a daemon goes on only at the version of the upstream that sent the first event, and drops the answer of another instance under the same identity. Daemons record at which service and version their streams began (StreamOrigins, table streams); a daemon that is asked for a stream that it doesn't know reads the records, or concludes from the versions that were in use if there was only one. Unknown streams and those without an upstream of their version are refused at once, with a statement that they did not run. The request that brought the first event is the one that Resumes names; two different ones count as none.

StreamOriginsTest never gets another version over 150 days with releases and kills, and finds at least half.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/CallerRequest.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/CallerRequest.java
@@ -18,6 +18,7 @@
  * @param prompt shape of the prompt, or empty for a plain request
  * @param fields header fields that are forwarded to upstreams unchanged
  * @param body body, empty if there is none
+ * @param resumption stream that the request takes up, or empty
  * @param malformed why the request must be refused as malformed, or empty
  */
 public record CallerRequest(
@@ -31,8 +32,17 @@
     Optional<PromptShape> prompt,
     List<HeaderField> fields,
     byte[] body,
+    Optional<Resumption> resumption,
     Optional<String> malformed) {
 
+  /**
+   * Stream that a caller takes up after its connection broke.
+   *
+   * @param firstRequest identifier of the request that brought the first event of the stream, or
+   *     empty if the caller names none or several
+   */
+  public record Resumption(Optional<String> firstRequest) {}
+
   /** Longest time to wait that is told apart in milliseconds, a day. */
   public static final long MAX_DEADLINE_MILLIS = 86_400_000;
 
@@ -42,7 +52,7 @@
   }
 
   /**
-   * Creates a request that is not malformed.
+   * Creates a request that takes up no stream and is not malformed.
    *
    * @param id identifier of this request
    * @param method HTTP method
@@ -77,6 +87,7 @@
         prompt,
         fields,
         body,
+        Optional.empty(),
         Optional.empty());
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -418,6 +418,7 @@
                 "upstream", e.id(),
                 "service", e.service(),
                 "address", e.address(),
+                "software", e.softwareVersion(),
                 "leaving", e.leaving()));
       }
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -64,6 +64,9 @@
     /** Called with an event; returns false if the caller's write buffer is full. */
     boolean onEvent(String id, byte[] bytes);
 
+    /** Returns whether only an upstream with a certain version of its software may answer. */
+    boolean isPinned();
+
     /** Called when the stream is complete. */
     void onStreamComplete();
 
@@ -240,6 +243,11 @@
     if (resumedAfter.isPresent() && !isContinuation(id)) {
       return;
     }
+    if (!isAnswered && owner.isPinned() && isReplaced()) {
+      exchange.cancel();
+      fail(AttemptOutcome.BROKEN, "another instance of the upstream answers");
+      return;
+    }
     if (!isAnswered) {
       isAnswered = true;
       forwarder.crashes().onBegun(traits);
@@ -256,6 +264,19 @@
     }
   }
 
+  /** Returns whether another instance has started under the identity of the upstream. */
+  private boolean isReplaced() {
+    return forwarder
+        .fleet()
+        .upstreams()
+        .find(upstream.id())
+        .filter(
+            e ->
+                e.startedAtMillis() != upstream.startedAtMillis()
+                    || !e.softwareVersion().equals(upstream.softwareVersion()))
+        .isPresent();
+  }
+
   /**
    * Returns whether an event of a resumed stream comes after those that the caller has. An event
    * without an identifier ends the attempt, since the text of an error would look the same.
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.hibiscusreel.coordination.forward.CallerRequest.Resumption;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.crash.RequestTraits;
 import org.hibiscusreel.core.forward.AccountSettings;
@@ -19,7 +20,9 @@
 import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.PromptShape;
+import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamSelector;
 import org.hibiscusreel.core.retry.RetryBudget;
@@ -30,6 +33,9 @@
   /** Longest wait in milliseconds for a reservation, which normally takes a few milliseconds. */
   static final long RESERVATION_TIMEOUT_MILLIS = 1_500;
 
+  /** Longest wait in milliseconds for the record of what began a stream. */
+  static final long ORIGIN_TIMEOUT_MILLIS = 800;
+
   /**
    * Retry advice in milliseconds while no tokens can be drawn. Another daemon may still hold some,
    * and a caller that retries this soon can be served within the shortest latency objective of the
@@ -62,7 +68,7 @@
   private final Optional<AccountSettings> account;
   private final CallerRequest request;
   private final CallerExchange caller;
-  private final ForwardService service;
+  private ForwardService service;
   private final long arrivalMillis;
   private final long callerDeadlineAtMillis;
   private final long timeoutAtMillis;
@@ -80,6 +86,7 @@
   private boolean ended;
   private boolean reserved;
   private Optional<StreamPosition> streamPosition = Optional.empty();
+  private Optional<StreamOrigin> origin = Optional.empty();
   private long eventsDelivered;
   private long firstEventAtMillis;
 
@@ -97,7 +104,7 @@
     this.request = request;
     this.caller = caller;
     String name = route.chooseService(forwarder.random().getAsLong());
-    this.service = table.service(name).orElseGet(() -> new ForwardService(name, 0, 0, 0, 0));
+    this.service = service(name);
     this.arrivalMillis = forwarder.scheduler().nowMillis();
     this.callerDeadlineAtMillis =
         arrivalMillis + request.deadlineMillis().orElse(route.timeoutMillis());
@@ -106,7 +113,57 @@
 
   void start() {
     timer = forwarder.scheduler().schedule(remainingMillis(), this::onTimeout);
-    runStep(this::begin);
+    boolean isTakenUp =
+        request.resumption().isPresent() && route.retryPolicy() == RetryPolicy.RESUMABLE;
+    runStep(isTakenUp ? this::findOrigin : this::begin);
+  }
+
+  private ForwardService service(String name) {
+    return table.service(name).orElseGet(() -> new ForwardService(name, 0, 0, 0, 0));
+  }
+
+  /** Finds out which upstreams can go on with the stream that the caller takes up. */
+  private void findOrigin() {
+    Optional<String> first = request.resumption().flatMap(Resumption::firstRequest);
+    String only = route.services().size() == 1 ? service.name() : "";
+    long wait = Math.min(ORIGIN_TIMEOUT_MILLIS, remainingMillis());
+    var unused =
+        forwarder
+            .origins()
+            .find(first, only, wait)
+            .thenAccept(
+                f -> {
+                  if (!ended) {
+                    runStep(() -> onOrigin(f));
+                  }
+                });
+  }
+
+  private void onOrigin(StreamOrigins.Found found) {
+    if (found instanceof StreamOrigins.Found.Unavailable) {
+      refuse(
+          Refusal.Kind.NOT_RUN,
+          STORE_UNAVAILABLE_RETRY_AFTER_MILLIS,
+          "it can't be found out now at which version the stream began");
+    } else if (found instanceof StreamOrigins.Found.Known k) {
+      StreamOrigin o = k.origin();
+      boolean isRouted = route.services().stream().anyMatch(s -> s.service().equals(o.service()));
+      if (isRouted && forwarder.hasUpstream(o)) {
+        origin = Optional.of(o);
+        service = service(o.service());
+        begin();
+      } else {
+        refuse(Refusal.Kind.NOT_RUN, 0, "no upstream is left that can go on with the stream");
+      }
+    } else {
+      refuse(Refusal.Kind.NOT_RUN, 0, "it is not known at which version the stream began");
+    }
+  }
+
+  /** Returns whether the request may be sent to an upstream. */
+  private boolean isEligible(UpstreamEntry upstream) {
+    return !triedUpstreams.contains(upstream.id())
+        && origin.map(o -> o.isContinuedBy(upstream)).orElse(true);
   }
 
   /**
@@ -243,7 +300,7 @@
             .map(
                 s ->
                     forwarder.chooseUpstreamForSuspect(
-                        service.name(), request.prompt(), triedUpstreams, s.placementKey()))
+                        service.name(), request.prompt(), this::isEligible, s.placementKey()))
             .orElseGet(this::chooseUpstream);
     if (choice.isEmpty()) {
       releaseSuspect();
@@ -278,7 +335,7 @@
 
   private Optional<UpstreamSelector.Choice> chooseUpstream() {
     return forwarder.chooseUpstream(
-        service.name(), request.prompt(), triedUpstreams, maxFirstEventMillis());
+        service.name(), request.prompt(), this::isEligible, maxFirstEventMillis());
   }
 
   /** Returns how late the first event may be expected, which no longer matters once one came. */
@@ -336,10 +393,29 @@
     if (streamPosition.isEmpty()) {
       streamPosition = Optional.of(StreamPosition.start(fields));
       firstEventAtMillis = forwarder.scheduler().nowMillis();
+      recordOrigin();
       caller.begin(status, fields);
     }
   }
 
+  private void recordOrigin() {
+    if (route.retryPolicy() != RetryPolicy.RESUMABLE) {
+      return;
+    }
+    UpstreamEntry chosen = attempt.upstream();
+    // Another instance may have started under the identity after the choice.
+    UpstreamEntry now = forwarder.fleet().upstreams().find(chosen.id()).orElse(chosen);
+    StreamOrigin begun = origin.orElseGet(() -> StreamOrigin.of(now));
+    origin = Optional.of(begun);
+    String first = request.resumption().flatMap(Resumption::firstRequest).orElse(request.id());
+    forwarder.origins().onBegun(first, begun);
+  }
+
+  @Override
+  public boolean isPinned() {
+    return origin.isPresent();
+  }
+
   @Override
   public boolean onEvent(String id, byte[] bytes) {
     streamPosition = streamPosition.map(p -> p.after(id));
@@ -546,6 +622,7 @@
     fields.put("took_ms", now - arrivalMillis);
     fields.put("first_ms", firstEventAtMillis == 0 ? -1 : firstEventAtMillis - arrivalMillis);
     fields.put("events", eventsDelivered);
+    request.resumption().ifPresent(r -> fields.put("resumes", r.firstRequest().orElse("")));
     request.prompt().ifPresent(p -> fields.put("prompt_tokens", p.promptTokens()));
     fields.put("charged_tokens", charged);
     fields.put("attempts", attempts.results());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.ForwardingTable;
@@ -19,6 +20,7 @@
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.PromptSizes;
 import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamPauses;
@@ -57,6 +59,7 @@
   private final PrepaidBudgets budgets;
   private final LoadExchange loads;
   private final UpstreamCrashes crashes;
+  private final StreamOrigins origins;
   private final ForwardSettings settings;
   private final DecisionLog log;
   private final LongSupplier random;
@@ -80,6 +83,7 @@
    * @param budgets prepaid tokens
    * @param loads loads of the upstreams
    * @param crashes requests that crash upstreams
+   * @param origins upstreams at which streams have begun
    * @param settings settings
    * @param log receives a line for each request
    * @param random source of random bits
@@ -92,6 +96,7 @@
       PrepaidBudgets budgets,
       LoadExchange loads,
       UpstreamCrashes crashes,
+      StreamOrigins origins,
       ForwardSettings settings,
       DecisionLog log,
       LongSupplier random) {
@@ -101,6 +106,7 @@
     this.budgets = Objects.requireNonNull(budgets, "budgets");
     this.loads = Objects.requireNonNull(loads, "loads");
     this.crashes = Objects.requireNonNull(crashes, "crashes");
+    this.origins = Objects.requireNonNull(origins, "origins");
     this.settings = Objects.requireNonNull(settings, "settings");
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
@@ -275,9 +281,12 @@
   }
 
   Optional<UpstreamSelector.Choice> chooseUpstream(
-      String service, Optional<PromptShape> prompt, Set<String> tried, long maxFirstEventMillis) {
+      String service,
+      Optional<PromptShape> prompt,
+      Predicate<UpstreamEntry> isEligible,
+      long maxFirstEventMillis) {
     long now = scheduler.nowMillis();
-    List<UpstreamSelector.Candidate> candidates = candidates(service, prompt, tried, now);
+    List<UpstreamSelector.Candidate> candidates = candidates(service, prompt, isEligible, now);
     if (hasLimits(service)) {
       candidates =
           candidates.stream()
@@ -287,6 +296,12 @@
     return UpstreamSelector.choose(candidates, prompt, settings.failureDomain(), now, random);
   }
 
+  /** Returns whether an upstream is left that can go on with a stream. */
+  boolean hasUpstream(StreamOrigin origin) {
+    return fleet.upstreams().usable(origin.service(), scheduler.nowMillis()).stream()
+        .anyMatch(origin::isContinuedBy);
+  }
+
   /**
    * Returns by how much the first event is expected too late. While some upstreams limit what they
    * take, the others may not be able to take the rest.
@@ -310,18 +325,21 @@
   }
 
   Optional<UpstreamSelector.Choice> chooseUpstreamForSuspect(
-      String service, Optional<PromptShape> prompt, Set<String> tried, String placementKey) {
+      String service,
+      Optional<PromptShape> prompt,
+      Predicate<UpstreamEntry> isEligible,
+      String placementKey) {
     long now = scheduler.nowMillis();
     return UpstreamSelector.chooseByKey(
-        candidates(service, prompt, tried, now), prompt, placementKey, now);
+        candidates(service, prompt, isEligible, now), prompt, placementKey, now);
   }
 
   private List<UpstreamSelector.Candidate> candidates(
-      String service, Optional<PromptShape> prompt, Set<String> tried, long now) {
+      String service, Optional<PromptShape> prompt, Predicate<UpstreamEntry> isEligible, long now) {
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
-      if (!tried.contains(e.id())
+      if (isEligible.test(e)
           && pauses.remainingMillis(e.id(), now) == 0
           && loads.waitMillis(e.id()) == 0) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
@@ -423,6 +441,10 @@
     }
   }
 
+  StreamOrigins origins() {
+    return origins;
+  }
+
   UpstreamCrashes crashes() {
     return crashes;
   }
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -0,0 +1,460 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
+import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.Row;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.StoreClock;
+import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+
+/**
+ * Knows at which version of a service the streams of the last seconds have begun, also those of
+ * daemons that have ended. Each daemon records its streams in the store, a few times a second, in
+ * rows of a few seconds each that it uses again in turn. Used only on the event loop thread.
+ */
+public final class StreamOrigins {
+
+  /**
+   * Time in milliseconds for which a record is kept. Callers wait up to ten seconds for a stream,
+   * counted from their first request.
+   */
+  static final long KEEP_MILLIS = 16_000;
+
+  /** Time whose streams one row has, in milliseconds. */
+  static final long ROW_MILLIS = 4_000;
+
+  /** Number of rows of one host, so that none is used again before its records are too old. */
+  static final long ROWS = KEEP_MILLIS / ROW_MILLIS + 1;
+
+  /** Least interval in milliseconds at which new records are written. */
+  static final long MIN_WRITE_INTERVAL_MILLIS = 250;
+
+  /** Fraction of the store's write rate that the records of all daemons may use. */
+  static final double WRITE_FRACTION = 0.1;
+
+  /** Least interval in milliseconds at which the rows of all daemons are read. */
+  static final long READ_INTERVAL_MILLIS = 100;
+
+  /** Largest number of streams in one row, so that the row stays within the limit of the store. */
+  static final int MAX_STREAMS = 2_000;
+
+  /** Length of an identifier above which a stream is not recorded. */
+  static final int MAX_ID_LENGTH = 64;
+
+  private static final long NEVER = Long.MIN_VALUE;
+  private static final String PREFIX = "streams//";
+  private static final int MAX_ROWS = 500;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** Answer to the question at what a stream has begun. */
+  public sealed interface Found {
+
+    /**
+     * The stream can go on only at upstreams like this one.
+     *
+     * @param origin service and version
+     */
+    record Known(StreamOrigin origin) implements Found {}
+
+    /** It can't be known any more. */
+    record Unknown() implements Found {}
+
+    /** The store can't be asked now. */
+    record Unavailable() implements Found {}
+  }
+
+  private record Begun(StreamOrigin origin, long atMillis) {}
+
+  private record Lookup(
+      String service, Optional<String> request, long untilMillis, CompletableFuture<Found> found) {}
+
+  private final TableService table;
+  private final Scheduler scheduler;
+  private final StoreClock clock;
+  private final FleetView fleet;
+  private final String host;
+  private final double writesPerSecond;
+  private final IntSupplier daemons;
+  private final DecisionLog log;
+  private final Map<String, Begun> known = new LinkedHashMap<>();
+  private final TreeMap<Long, Map<String, StreamOrigin>> ownRows = new TreeMap<>();
+  private final Set<Long> unwritten = new TreeSet<>();
+  private final Map<StreamOrigin, Long> seenAtMillis = new HashMap<>();
+  private final Map<StreamOrigin, Long> reportedAtMillis = new HashMap<>();
+  private final List<Lookup> lookups = new ArrayList<>();
+  private Set<StreamOrigin> written = Set.of();
+  private Cancellable nextRead = () -> {};
+  private boolean isReading;
+  private boolean isReadScheduled;
+  private boolean isWriting;
+  private boolean areOwnRowsKnown;
+  private long lastReadMillis = Long.MIN_VALUE / 2;
+  private long viewBeganAtMillis = NEVER;
+  private long era;
+  private boolean stopped;
+
+  /**
+   * Creates the records.
+   *
+   * @param table the platform's table
+   * @param scheduler clock and delayed tasks
+   * @param clock clock of the store
+   * @param fleet known upstreams
+   * @param host name of this host
+   * @param writesPerSecond write rate that the store accepts from all daemons together
+   * @param daemons number of daemons that write records
+   * @param log receives what can't be found
+   * @throws NullPointerException if an argument is null
+   */
+  public StreamOrigins(
+      TableService table,
+      Scheduler scheduler,
+      StoreClock clock,
+      FleetView fleet,
+      String host,
+      double writesPerSecond,
+      IntSupplier daemons,
+      DecisionLog log) {
+    this.table = Objects.requireNonNull(table, "table");
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.fleet = Objects.requireNonNull(fleet, "fleet");
+    this.host = Objects.requireNonNull(host, "host");
+    this.writesPerSecond = writesPerSecond;
+    this.daemons = Objects.requireNonNull(daemons, "daemons");
+    this.log = Objects.requireNonNull(log, "log");
+  }
+
+  /** Reads the records of all daemons and starts to write those of this one. */
+  public void start() {
+    read();
+    scheduler.schedule(writeIntervalMillis(), this::writeAll);
+  }
+
+  /** Stops writing records. */
+  public void stop() {
+    stopped = true;
+    nextRead.cancel();
+  }
+
+  private long writeIntervalMillis() {
+    double seconds = daemons.getAsInt() / (WRITE_FRACTION * writesPerSecond);
+    return Math.max(MIN_WRITE_INTERVAL_MILLIS, (long) (seconds * MILLIS_PER_SECOND));
+  }
+
+  /**
+   * Records that the first event of a stream has come.
+   *
+   * @param request identifier of the request that brought it
+   * @param origin service and version of the upstream
+   */
+  void onBegun(String request, StreamOrigin origin) {
+    if (request.isEmpty() || request.length() > MAX_ID_LENGTH) {
+      return;
+    }
+    keep(request, origin, scheduler.nowMillis());
+    long number = currentRow();
+    Map<String, StreamOrigin> row = ownRows.computeIfAbsent(number, n -> new LinkedHashMap<>());
+    if (row.size() < MAX_STREAMS) {
+      row.put(request, origin);
+      unwritten.add(number);
+    }
+  }
+
+  private void keep(String request, StreamOrigin origin, long atMillis) {
+    // The oldest record comes first, so that expired ones are found without a search.
+    known.remove(request);
+    known.put(request, new Begun(origin, atMillis));
+  }
+
+  private long currentRow() {
+    return clock.millis() / ROW_MILLIS;
+  }
+
+  /**
+   * Finds at what a stream has begun.
+   *
+   * @param request identifier of the request that brought its first event, or empty
+   * @param service service that the stream belongs to if no record names one, or empty if it may be
+   *     one of several
+   * @param timeoutMillis longest time to wait for the store, in milliseconds
+   * @return the answer; completes on the event loop and never exceptionally
+   */
+  CompletableFuture<Found> find(Optional<String> request, String service, long timeoutMillis) {
+    expire();
+    Optional<Begun> begun = request.map(known::get);
+    if (begun.isPresent()) {
+      return CompletableFuture.completedFuture(new Found.Known(begun.get().origin()));
+    }
+    if (hasLongView() && conclude(service) instanceof Found.Known only) {
+      return CompletableFuture.completedFuture(only);
+    }
+    // A record may be written up to an interval after the first event.
+    long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + READ_INTERVAL_MILLIS);
+    Lookup lookup =
+        new Lookup(service, request, scheduler.nowMillis() + waitMillis, new CompletableFuture<>());
+    lookups.add(lookup);
+    scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable()));
+    scheduleRead();
+    return lookup.found();
+  }
+
+  private void end(Lookup lookup, Found found) {
+    if (lookups.remove(lookup)) {
+      if (!(found instanceof Found.Known)) {
+        log.record(
+            "stream_origin",
+            Map.of(
+                "request",
+                lookup.request().orElse(""),
+                "service",
+                lookup.service(),
+                "candidates",
+                candidates(lookup.service()).stream().map(StreamOrigin::softwareVersion).toList(),
+                "outcome",
+                found.getClass().getSimpleName()));
+      }
+      lookup.found().complete(found);
+    }
+  }
+
+  private void scheduleRead() {
+    if (isReading || isReadScheduled || stopped) {
+      return;
+    }
+    isReadScheduled = true;
+    long waitMillis = lastReadMillis + READ_INTERVAL_MILLIS - scheduler.nowMillis();
+    nextRead = scheduler.schedule(Math.max(0, waitMillis), this::read);
+  }
+
+  private void read() {
+    isReadScheduled = false;
+    isReading = true;
+    lastReadMillis = scheduler.nowMillis();
+    List<Lookup> asked = List.copyOf(lookups);
+    readFrom("", new ArrayList<>(), asked);
+  }
+
+  private void readFrom(String after, List<Row> found, List<Lookup> asked) {
+    var unused =
+        table
+            .scan(PREFIX, after, MAX_ROWS)
+            .thenAccept(
+                r -> {
+                  if (!(r instanceof ReadResult.Rows rows)) {
+                    onReadFailed(asked);
+                    return;
+                  }
+                  found.addAll(rows.rows());
+                  if (rows.more() && !rows.rows().isEmpty()) {
+                    readFrom(rows.rows().get(rows.rows().size() - 1).key(), found, asked);
+                  } else {
+                    onRead(found, asked);
+                  }
+                });
+  }
+
+  private void onReadFailed(List<Lookup> asked) {
+    isReading = false;
+    for (Lookup l : asked) {
+      // What this daemon has seen itself may be enough.
+      end(l, hasLongView() ? conclude(l.service()) : new Found.Unavailable());
+    }
+    if (!areOwnRowsKnown || !lookups.isEmpty()) {
+      scheduleRead();
+    }
+  }
+
+  /** Returns whether this daemon itself has seen all versions that a stream can have begun at. */
+  private boolean hasLongView() {
+    return viewBeganAtMillis != NEVER && scheduler.nowMillis() - viewBeganAtMillis >= KEEP_MILLIS;
+  }
+
+  private void onRead(List<Row> rows, List<Lookup> asked) {
+    isReading = false;
+    for (Row r : rows) {
+      try {
+        apply(r);
+      } catch (IOException e) {
+        // Another writer may have spoilt the row; the others hold.
+        log.record("stream_origins_unusable", Map.of("row", r.key()));
+      }
+    }
+    areOwnRowsKnown = true;
+    for (Lookup l : asked) {
+      Optional<Begun> begun = l.request().map(known::get);
+      if (begun.isPresent()) {
+        end(l, new Found.Known(begun.get().origin()));
+      } else if (l.request().isEmpty() || scheduler.nowMillis() >= l.untilMillis()) {
+        end(l, conclude(l.service()));
+      } else if (conclude(l.service()) instanceof Found.Known only) {
+        end(l, only);
+      }
+    }
+    if (!lookups.isEmpty()) {
+      scheduleRead();
+    }
+  }
+
+  private void apply(Row row) throws IOException {
+    OriginRow content = Json.readExact(row.value(), OriginRow.class);
+    long ageMillis = Math.max(0, clock.millis() - content.atMillis());
+    if (ageMillis > KEEP_MILLIS + ROW_MILLIS) {
+      return;
+    }
+    long atMillis = scheduler.nowMillis() - ageMillis;
+    boolean isOwn = row.key().startsWith(PREFIX + host + ".");
+    for (OriginRow.Versions v : content.versions()) {
+      for (String software : v.software()) {
+        reportedAtMillis.merge(new StreamOrigin(v.service(), software), atMillis, Math::max);
+      }
+    }
+    for (OriginRow.Streams s : content.streams()) {
+      StreamOrigin origin = new StreamOrigin(s.service(), s.software());
+      for (String request : s.requests()) {
+        known.putIfAbsent(request, new Begun(origin, atMillis));
+        if (isOwn && !areOwnRowsKnown) {
+          // An earlier run of this host has written into the row.
+          ownRows
+              .computeIfAbsent(content.atMillis() / ROW_MILLIS, n -> new LinkedHashMap<>())
+              .putIfAbsent(request, origin);
+        }
+      }
+    }
+  }
+
+  /** Concludes from the versions that were in use lately; only one leaves no doubt. */
+  private Found conclude(String service) {
+    Set<StreamOrigin> candidates = candidates(service);
+    return candidates.size() == 1
+        ? new Found.Known(candidates.iterator().next())
+        : new Found.Unknown();
+  }
+
+  private Set<StreamOrigin> candidates(String service) {
+    observe();
+    Set<StreamOrigin> candidates = new HashSet<>();
+    long oldest = scheduler.nowMillis() - KEEP_MILLIS;
+    seenAtMillis.forEach(
+        (origin, at) -> {
+          if (origin.service().equals(service) && at >= oldest) {
+            candidates.add(origin);
+          }
+        });
+    reportedAtMillis.forEach(
+        (origin, at) -> {
+          if (origin.service().equals(service) && at >= oldest - ROW_MILLIS) {
+            candidates.add(origin);
+          }
+        });
+    return candidates;
+  }
+
+  /** Notes the versions that the upstreams have now. */
+  private void observe() {
+    long now = scheduler.nowMillis();
+    for (UpstreamEntry e : fleet.upstreams().all()) {
+      viewBeganAtMillis = viewBeganAtMillis == NEVER ? now : viewBeganAtMillis;
+      seenAtMillis.put(StreamOrigin.of(e), now);
+    }
+  }
+
+  private void expire() {
+    long oldest = scheduler.nowMillis() - KEEP_MILLIS;
+    var it = known.values().iterator();
+    while (it.hasNext() && it.next().atMillis() < oldest) {
+      it.remove();
+    }
+  }
+
+  private void writeAll() {
+    if (stopped) {
+      return;
+    }
+    scheduler.schedule(writeIntervalMillis(), this::writeAll);
+    expire();
+    observe();
+    long oldest = currentRow() - ROWS + 1;
+    ownRows.headMap(oldest).clear();
+    unwritten.removeIf(n -> n < oldest);
+    if (era != table.era()) {
+      era = table.era();
+      unwritten.addAll(ownRows.keySet());
+    }
+    Set<StreamOrigin> seen = seen();
+    if (!seen.equals(written)) {
+      unwritten.add(currentRow());
+    }
+    if (!isWriting && areOwnRowsKnown && clock.millis() > 0 && !unwritten.isEmpty()) {
+      write(seen);
+    }
+  }
+
+  private Set<StreamOrigin> seen() {
+    seenAtMillis.values().removeIf(at -> at < scheduler.nowMillis() - KEEP_MILLIS);
+    return Set.copyOf(seenAtMillis.keySet());
+  }
+
+  private void write(Set<StreamOrigin> seen) {
+    isWriting = true;
+    List<Long> numbers = List.copyOf(unwritten);
+    unwritten.clear();
+    List<Mutation> rows = new ArrayList<>();
+    for (long n : numbers) {
+      rows.add(Mutation.put(key(n), Json.write(toRow(n, seen))));
+    }
+    var unused =
+        table
+            .transact(rows)
+            .thenAccept(
+                w -> {
+                  isWriting = false;
+                  if (w instanceof WriteResult.Committed) {
+                    written = seen;
+                  } else {
+                    unwritten.addAll(numbers);
+                  }
+                });
+  }
+
+  private String key(long number) {
+    return PREFIX + host + "." + number % ROWS;
+  }
+
+  private OriginRow toRow(long number, Set<StreamOrigin> seen) {
+    Map<String, List<String>> versions = new TreeMap<>();
+    seen.forEach(
+        o ->
+            versions.computeIfAbsent(o.service(), s -> new ArrayList<>()).add(o.softwareVersion()));
+    Map<StreamOrigin, List<String>> streams = new LinkedHashMap<>();
+    ownRows
+        .getOrDefault(number, Map.of())
+        .forEach((id, o) -> streams.computeIfAbsent(o, k -> new ArrayList<>()).add(id));
+    List<OriginRow.Versions> v = new ArrayList<>();
+    versions.forEach((service, software) -> v.add(new OriginRow.Versions(service, software)));
+    List<OriginRow.Streams> s = new ArrayList<>();
+    streams.forEach(
+        (o, ids) -> s.add(new OriginRow.Streams(o.service(), o.softwareVersion(), ids)));
+    long atMillis = Math.min(clock.millis(), (number + 1) * ROW_MILLIS - 1);
+    return new OriginRow(atMillis, v, s);
+  }
+}
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -40,6 +40,7 @@
   final List<Sent> sent = new ArrayList<>();
   final List<String> callerEvents = new ArrayList<>();
   final List<Map<String, Object>> logLines = new ArrayList<>();
+  final StreamOrigins origins;
   final PrepaidBudgets budgets;
   final UpstreamCrashes crashes;
   final Forwarder forwarder;
@@ -134,6 +135,16 @@
             new HolderCopies(scheduler, new NoOpHolderTransport(), ""),
             (e, f) -> {});
     this.crashes = new UpstreamCrashes(scheduler, crashTransport, address, (e, f) -> {});
+    this.origins =
+        new StreamOrigins(
+            table,
+            scheduler,
+            new VirtualStoreClock(scheduler),
+            this,
+            "d",
+            800,
+            this::daemonCount,
+            (e, f) -> {});
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -148,6 +159,7 @@
                 () -> 0,
                 v -> {}),
             crashes,
+            origins,
             new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
             () -> 0);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -697,6 +697,7 @@
             r.prompt(),
             r.fields(),
             r.body(),
+            Optional.empty(),
             Optional.of("no size")));
     assertThat(h.callerEvents).containsExactly("MALFORMED");
     assertThat(h.outcome()).isEqualTo("MALFORMED");
--- /dev/null
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -0,0 +1,144 @@
+package org.hibiscusreel.coordination.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.hibiscusreel.core.forward.AttemptOutcome;
+import org.hibiscusreel.core.forward.RetryPolicy;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Streams of a service whose upstreams run several versions of their software. */
+class PinnedStreamsTest {
+
+  private static final List<HeaderField> EVENT_STREAM =
+      List.of(new HeaderField("Content-Type", "text/event-stream"));
+
+  private final ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 3, 0);
+
+  private void list(String id, String version) {
+    list(id, version, 0);
+  }
+
+  private void list(String id, String version, long startedAtMillis) {
+    h.upstreams.put(
+        new UpstreamEntry(id, "s", "127.0.0.1:1", "here", false, 4, version, startedAtMillis));
+  }
+
+  private static byte[] event(int id) {
+    return ("id: " + id + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private void beginStream() {
+    h.serve(ForwardHarness.prompt("p"));
+    h.last().listener.onHead(200, EVENT_STREAM);
+    h.last().listener.onBytes(event(1));
+  }
+
+  /** Takes up a stream that a request of a caller began. */
+  private void takeUp(String firstRequest) {
+    CallerRequest r = ForwardHarness.prompt("p");
+    h.serve(
+        new CallerRequest(
+            "id3",
+            r.method(),
+            r.host(),
+            r.target(),
+            r.path(),
+            r.key(),
+            r.deadlineMillis(),
+            r.prompt(),
+            r.fields(),
+            r.body(),
+            Optional.of(new CallerRequest.Resumption(Optional.ofNullable(firstRequest))),
+            Optional.empty()));
+    h.scheduler.run(ForwardTask.ORIGIN_TIMEOUT_MILLIS);
+  }
+
+  /** Guards against events of two versions in one response. */
+  @ParameterizedTest
+  @CsvSource({"v1, v2, v1, u2", "v1, v2, v3, ", "v1, v1, v2, u1"})
+  void goesOnOnlyAtTheVersionThatBeganTheStream(
+      String begun, String second, String third, String expected) {
+    list("u0", begun);
+    beginStream();
+    list("u1", second);
+    list("u2", third);
+    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    h.scheduler.run(500);
+    if (expected == null) {
+      assertThat(h.sent).hasSize(1);
+      assertThat(h.callerEvents).endsWith("abort");
+    } else {
+      assertThat(h.last().upstream.id()).isEqualTo(expected);
+      assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+    }
+  }
+
+  /**
+   * Guards against a stream that a caller takes up at another version than the one that began it.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "id2, v1, v1, v2, v1",
+    "id2, v1, v2, v3, ",
+    "id9, v1, v1, v2, ",
+    ", v1, v1, v2, ",
+    "id9, v1, v1, v1, v1",
+    ", v1, v1, v1, v1"
+  })
+  void takesUpStreamOnlyAtTheVersionThatBeganIt(
+      String named, String begun, String first, String second, String expected) {
+    h.origins.onBegun("id2", new StreamOrigin("s", begun));
+    h.origins.start();
+    list("u0", first);
+    list("u1", second);
+    h.scheduler.run(1_000);
+    takeUp(named);
+    if (expected == null) {
+      assertThat(h.sent).isEmpty();
+      assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.NOT_RUN);
+      assertThat(h.refusal.retryAfterMillis()).isZero();
+    } else {
+      assertThat(h.last().upstream.softwareVersion()).isEqualTo(expected);
+    }
+  }
+
+  /** Guards against a chain of take-ups whose later ones name the first request. */
+  @Test
+  void recordsTheStreamUnderTheRequestThatBroughtItsFirstEvent() {
+    list("u0", "v1");
+    beginStream();
+    list("u1", "v2");
+    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    h.scheduler.run(100);
+    h.upstreams.drop("u0");
+    list("u2", "v1");
+    takeUp("id2");
+    assertThat(h.last().upstream.id()).isEqualTo("u2");
+    h.last().listener.onFailure(AttemptOutcome.NOT_SENT, "refused");
+    takeUp("id2");
+    assertThat(h.last().upstream.id()).isEqualTo("u2");
+  }
+
+  /** Guards against an upstream that has started at another version under its old identity. */
+  @Test
+  void dropsContinuationOfAnotherInstance() {
+    list("u0", "v1");
+    beginStream();
+    list("u1", "v1", 5);
+    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    h.scheduler.run(100);
+    assertThat(h.last().upstream.id()).isEqualTo("u1");
+    list("u1", "v2", 9);
+    h.last().listener.onHead(200, EVENT_STREAM);
+    h.last().listener.onBytes(event(2));
+    h.scheduler.run(100);
+    assertThat(h.callerEvents).doesNotContain("id: 2").endsWith("abort");
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -0,0 +1,231 @@
+package org.hibiscusreel.coordination.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hibiscusreel.coordination.forward.StreamOrigins.Found;
+import org.hibiscusreel.coordination.testing.FakeTable;
+import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.hibiscusreel.coordination.testing.VirtualStoreClock;
+import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.UpstreamCatalog;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class StreamOriginsTest {
+
+  private static final long TIMEOUT_MILLIS = 800;
+  private static final long START_MILLIS = 50_000;
+
+  private final VirtualScheduler scheduler = new VirtualScheduler();
+  private final FakeTable table = new FakeTable(scheduler);
+
+  /** Daemon on a host, with the upstreams that it knows. */
+  private final class Daemon implements FleetView {
+
+    private final UpstreamCatalog catalog = new UpstreamCatalog();
+    private final StreamOrigins origins;
+    private boolean alive = true;
+
+    private Daemon(String host, List<String> versions) {
+      use(versions);
+      origins =
+          new StreamOrigins(
+              new KillableTable(table, () -> alive),
+              scheduler,
+              new VirtualStoreClock(scheduler),
+              this,
+              host,
+              800,
+              () -> 2,
+              (e, f) -> {});
+      origins.start();
+    }
+
+    private void use(List<String> versions) {
+      List<UpstreamEntry> entries = new ArrayList<>();
+      versions.forEach(v -> entries.add(upstream(v)));
+      catalog.replaceAll(entries, scheduler.nowMillis());
+    }
+
+    private Found find(String request) {
+      CompletableFuture<Found> found =
+          origins.find(Optional.ofNullable(request), "s", TIMEOUT_MILLIS);
+      scheduler.run(TIMEOUT_MILLIS);
+      return found.join();
+    }
+
+    private void kill() {
+      alive = false;
+      origins.stop();
+    }
+
+    @Override
+    public Optional<ForwardingTable> table() {
+      return Optional.empty();
+    }
+
+    @Override
+    public long configurationAgeMillis() {
+      return 0;
+    }
+
+    @Override
+    public long configurationLagMillis() {
+      return 0;
+    }
+
+    @Override
+    public UpstreamCatalog upstreams() {
+      return catalog;
+    }
+
+    @Override
+    public long upstreamDataAgeMillis() {
+      return 0;
+    }
+
+    @Override
+    public int daemonCount() {
+      return 2;
+    }
+  }
+
+  private static UpstreamEntry upstream(String version) {
+    return new UpstreamEntry("u-" + version, "s", "127.0.0.1:1", "d", false, 4, version, 0);
+  }
+
+  private static StreamOrigin origin(String version) {
+    return new StreamOrigin("s", version);
+  }
+
+  /**
+   * Guards against a stream that goes on at another version after the daemon that began it has
+   * ended, and against one that is refused although there is no doubt.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "v1, 1_000, 'v1', 'v1,v2', id, v1",
+    "v1, 1_000, 'v1,v2', 'v2', id, v1",
+    "v1, 10, 'v1', 'v1', id, v1",
+    "v1, 10, 'v1', 'v1', , v1",
+    "v1, 10, 'v1', 'v2', id, ",
+    "v1, 10, 'v1,v2', 'v1,v2', id, ",
+    "v1, 1_000, 'v1,v2', 'v1,v2', other, ",
+    "v1, 1_000, 'v1,v2', 'v1,v2', , "
+  })
+  void findsWhatBeganTheStreamOfAnEndedDaemon(
+      String begunAt,
+      String millisUntilKill,
+      String before,
+      String after,
+      String named,
+      String expected) {
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of(before.split(",")));
+    scheduler.run(2_000);
+    first.origins.onBegun("id", origin(begunAt));
+    scheduler.run(Long.parseLong(millisUntilKill.replace("_", "")));
+    first.kill();
+    scheduler.run(1_500);
+    Daemon second = new Daemon("b", List.of(after.split(",")));
+    scheduler.run(300);
+    assertThat(second.find(named))
+        .isEqualTo(expected == null ? new Found.Unknown() : new Found.Known(origin(expected)));
+  }
+
+  /** Guards against a false answer while the store can't be asked. */
+  @ParameterizedTest
+  @CsvSource({"1_000, false", "30_000, true"})
+  void answersWithoutTheStoreOnlyWhatItHasSeenItself(String upMillis, boolean isKnown) {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(Long.parseLong(upMillis.replace("_", "")));
+    table.isDown = true;
+    assertThat(d.find("id") instanceof Found.Known).isEqualTo(isKnown);
+  }
+
+  /**
+   * Guards against streams that go on at another version, whatever versions come and go while
+   * daemons are killed, and against records that get lost with a restart of their host.
+   */
+  @Property(tries = 150, seed = "20261206")
+  void neverNamesAnotherVersion(@ForAll long seed) {
+    new StreamOriginsTest().playDay(new Random(seed));
+  }
+
+  private void playDay(Random random) {
+    scheduler.run(START_MILLIS);
+    List<String> versions = new ArrayList<>(List.of("v1"));
+    List<Daemon> daemons = new ArrayList<>();
+    for (int h = 0; h < 3; h++) {
+      daemons.add(new Daemon("h" + h, versions));
+    }
+    int next = 2;
+    int found = 0;
+    int sought = 0;
+    for (int round = 0; round < 4; round++) {
+      final Map<String, StreamOrigin> streams = new HashMap<>();
+      final int streamsInRound = 20 + random.nextInt(40);
+      for (int i = 0; i < streamsInRound; i++) {
+        scheduler.run(random.nextInt(150));
+        if (random.nextInt(15) == 0) {
+          versions.add("v" + next++);
+        }
+        if (versions.size() > 1 && random.nextInt(15) == 0) {
+          versions.remove(0);
+        }
+        daemons.forEach(d -> d.use(versions));
+        StreamOrigin origin = origin(versions.get(random.nextInt(versions.size())));
+        String id = round + "." + i;
+        streams.put(id, origin);
+        daemons.get(random.nextInt(3)).origins.onBegun(id, origin);
+      }
+      final boolean areAllKilled = random.nextBoolean();
+      for (int h = 0; h < 3; h++) {
+        if (areAllKilled || random.nextBoolean()) {
+          daemons.get(h).kill();
+          daemons.set(h, null);
+        }
+      }
+      scheduler.run(500 + random.nextInt(2_000));
+      if (random.nextBoolean()) {
+        versions.add("v" + next++);
+      }
+      for (int h = 0; h < 3; h++) {
+        if (daemons.get(h) == null) {
+          daemons.set(h, new Daemon("h" + h, versions));
+        }
+        daemons.get(h).use(versions);
+      }
+      scheduler.run(500);
+      List<CompletableFuture<Found>> answers = new ArrayList<>();
+      List<StreamOrigin> expected = new ArrayList<>();
+      streams.forEach(
+          (id, origin) -> {
+            answers.add(
+                daemons.get(random.nextInt(3)).origins.find(Optional.of(id), "s", TIMEOUT_MILLIS));
+            expected.add(origin);
+          });
+      scheduler.run(TIMEOUT_MILLIS);
+      for (int i = 0; i < answers.size(); i++) {
+        sought++;
+        if (answers.get(i).join() instanceof Found.Known k) {
+          found++;
+          assertThat(k.origin()).isEqualTo(expected.get(i));
+        }
+      }
+    }
+    assertThat(found).isGreaterThanOrEqualTo(sought / 2);
+  }
+}
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -1,6 +1,8 @@
 package org.hibiscusreel.core.forward;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -206,6 +208,15 @@
     return !leaving.isEmpty() && leaving.contains(LeavingUpstream.of(entry));
   }
 
+  /**
+   * Returns all upstreams, including those that are leaving.
+   *
+   * @return their entries
+   */
+  public Collection<UpstreamEntry> all() {
+    return Collections.unmodifiableCollection(entries.values());
+  }
+
   /**
    * Finds an upstream.
    *
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -15,6 +15,7 @@
 import org.hibiscusreel.coordination.forward.HolderCopies;
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
+import org.hibiscusreel.coordination.forward.StreamOrigins;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -115,6 +116,7 @@
   private final UdpLoadTransport loadTransport;
   private final LoadExchange loadExchange;
   private final UpstreamCrashes crashes;
+  private final StreamOrigins origins;
   private final Forwarder forwarder;
   private final ForwardServer server;
   private final StatusServer status;
@@ -177,6 +179,16 @@
             new PeerListener());
     this.crashes =
         new UpstreamCrashes(scheduler, loadTransport, formatAddress(settings.peers()), decisions);
+    this.origins =
+        new StreamOrigins(
+            ports.table(),
+            scheduler,
+            ports.clock(),
+            fleet,
+            settings.host(),
+            settings.storeWritesPerSecond(),
+            fleet::daemonCount,
+            decisions);
     this.forwarder =
         new Forwarder(
             scheduler,
@@ -186,6 +198,7 @@
             budgets,
             loadExchange,
             crashes,
+            origins,
             settings.forward(),
             decisions,
             ThreadLocalRandom.current()::nextLong);
@@ -238,6 +251,7 @@
     crashes.start();
     fleet.start();
     budgets.start();
+    origins.start();
   }
 
   /** Records a reload request, which has no effect: the settings file is read at the start only. */
@@ -333,6 +347,7 @@
 
   private void stopServices() {
     fleet.stop();
+    origins.stop();
     loadExchange.stop();
     crashes.stop();
     loadTransport.stop();
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -30,6 +30,7 @@
 import org.hibiscusreel.coordination.forward.LoadExchange;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.Refusal;
+import org.hibiscusreel.coordination.forward.StreamOrigins;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.coordination.platform.ObservedStoreClock;
@@ -232,6 +233,15 @@
                       () -> 0,
                       v -> {}),
                   new UpstreamCrashes(scheduler, reports, "127.0.0.1:0", (e, f) -> {}),
+                  new StreamOrigins(
+                      new UnreachableTableService(),
+                      scheduler,
+                      new ObservedStoreClock(scheduler::nowMillis),
+                      new Fleet(),
+                      "d",
+                      800,
+                      () -> 1,
+                      (e, f) -> {}),
                   new ForwardSettings("d", 0.2, 10, 2_000),
                   (e, f) -> {},
                   () -> 0);
