--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/AccountBudget.java
@@ -318,7 +318,7 @@
     }
     long remaining = eraBeganAtMillis.getAsLong() + declarationMillis() - scheduler.nowMillis();
     if (remaining > 0) {
-      onFailure("the store was restored and other daemons declare what they hold", remaining);
+      onFailure("other daemons may still declare what they hold", remaining);
       return;
     }
     try {
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class UpstreamCatalogTest {
 
@@ -43,6 +45,21 @@
     assertThat(catalog.remove("a", LATE_MILLIS)).isFalse();
   }
 
+  /** Guards against requests to an upstream that left before the copy of a restored store. */
+  @ParameterizedTest
+  @CsvSource({"true, false, false", "false, false, false", "false, true, true"})
+  void usesRemovedUpstreamAfterRestorationOnlyOnceItHasWrittenItsEntry(
+      boolean wasLeaving, boolean isWritten, boolean isUsable) {
+    catalog.put(entry("a", wasLeaving));
+    catalog.remove("a", LATE_MILLIS);
+    catalog.onStoreRestored(LATE_MILLIS + 500);
+    catalog.replaceAll(List.of(entry("a", false)), LATE_MILLIS + 600);
+    if (isWritten) {
+      catalog.onWritten(LeavingUpstream.of(entry("a", false)));
+    }
+    assertThat(usable(LATE_MILLIS + 700)).hasSize(isUsable ? 1 : 0);
+  }
+
   /** Guards against refusing all requests after an outage in which the entries expired. */
   @Test
   void keepsExpiredEntriesDuringTheGracePeriod() {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.hibiscusreel.coordination.forward.HolderCopy;
 import org.hibiscusreel.core.crash.Block;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LeavingUpstream;
@@ -100,6 +101,21 @@
     assertThat(next()).isEqualTo(report);
   }
 
+  /** Guards against a copy of a row that other daemons can't read when its host has ended. */
+  @Test
+  void carriesRowsOfHosts() throws InterruptedException {
+    start();
+    BlockingQueue<HolderCopy> rows = new LinkedBlockingQueue<>();
+    loop.run(() -> receiver.receiveHolders(rows::add));
+    List<HolderCopy> sent =
+        List.of(
+            new HolderCopy("acme", "h", 2, 17, "{\"drawn\":5}"),
+            new HolderCopy("b", "h", 2, 18, "x"));
+    loop.run(() -> sender.sendHolders(List.of("127.0.0.1:" + second.getPort()), sent));
+    assertThat(rows.poll(5, TimeUnit.SECONDS)).isEqualTo(sent.get(0));
+    assertThat(rows.poll(5, TimeUnit.SECONDS)).isEqualTo(sent.get(1));
+  }
+
   /** Guards against a notice that is lost because the report has no limits or no load. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
