--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -19,14 +19,14 @@
   private static final List<HeaderField> EVENT_STREAM =
       List.of(new HeaderField("Content-Type", "text/event-stream"));
 
-  private final ForwardHarness h = new ForwardHarness(RetryPolicy.RESUMABLE, true, 3, 0);
+  private final ForwardHarness harness = new ForwardHarness(RetryPolicy.RESUMABLE, true, 3, 0);
 
   private void list(String id, String version) {
     list(id, version, 0);
   }
 
   private void list(String id, String version, long startedAtMillis) {
-    h.upstreams.put(
+    harness.upstreams.put(
         new UpstreamEntry(id, "s", "127.0.0.1:1", "here", false, 4, version, startedAtMillis));
   }
 
@@ -35,15 +35,15 @@
   }
 
   private void beginStream() {
-    h.serve(ForwardHarness.prompt("p"));
-    h.last().listener.onHead(200, EVENT_STREAM);
-    h.last().listener.onBytes(event(1));
+    harness.serve(ForwardHarness.prompt("p"));
+    harness.last().listener.onHead(200, EVENT_STREAM);
+    harness.last().listener.onBytes(event(1));
   }
 
   /** Takes up a stream that a request of a caller began. */
   private void takeUp(String firstRequest) {
     CallerRequest r = ForwardHarness.prompt("p");
-    h.serve(
+    harness.serve(
         new CallerRequest(
             "id3",
             r.method(),
@@ -57,7 +57,7 @@
             r.body(),
             Optional.of(new CallerRequest.Resumption(Optional.ofNullable(firstRequest))),
             Optional.empty()));
-    h.scheduler.run(ForwardTask.ORIGIN_TIMEOUT_MILLIS);
+    harness.scheduler.run(ForwardTask.ORIGIN_TIMEOUT_MILLIS);
   }
 
   /** Guards against events of two versions in one response. */
@@ -69,14 +69,14 @@
     beginStream();
     list("u1", second);
     list("u2", third);
-    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
-    h.scheduler.run(500);
+    harness.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    harness.scheduler.run(500);
     if (expected == null) {
-      assertThat(h.sent).hasSize(1);
-      assertThat(h.callerEvents).endsWith("abort");
+      assertThat(harness.sent).hasSize(1);
+      assertThat(harness.callerEvents).endsWith("abort");
     } else {
-      assertThat(h.last().upstream.id()).isEqualTo(expected);
-      assertThat(h.last().request.resumeAfter()).isEqualTo("1");
+      assertThat(harness.last().upstream.id()).isEqualTo(expected);
+      assertThat(harness.last().request.resumeAfter()).isEqualTo("1");
     }
   }
 
@@ -94,18 +94,18 @@
   })
   void takesUpStreamOnlyAtTheVersionThatBeganIt(
       String named, String begun, String first, String second, String expected) {
-    h.origins.onBegun("id2", new StreamOrigin("s", begun));
-    h.origins.start();
+    harness.origins.onBegun("id2", new StreamOrigin("s", begun));
+    harness.origins.start();
     list("u0", first);
     list("u1", second);
-    h.scheduler.run(1_000);
+    harness.scheduler.run(1_000);
     takeUp(named);
     if (expected == null) {
-      assertThat(h.sent).isEmpty();
-      assertThat(h.refusal.kind()).isEqualTo(Refusal.Kind.NOT_RUN);
-      assertThat(h.refusal.retryAfterMillis()).isZero();
+      assertThat(harness.sent).isEmpty();
+      assertThat(harness.refusal.kind()).isEqualTo(Refusal.Kind.NOT_RUN);
+      assertThat(harness.refusal.retryAfterMillis()).isZero();
     } else {
-      assertThat(h.last().upstream.softwareVersion()).isEqualTo(expected);
+      assertThat(harness.last().upstream.softwareVersion()).isEqualTo(expected);
     }
   }
 
@@ -115,15 +115,15 @@
     list("u0", "v1");
     beginStream();
     list("u1", "v2");
-    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
-    h.scheduler.run(100);
-    h.upstreams.drop("u0");
+    harness.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    harness.scheduler.run(100);
+    harness.upstreams.drop("u0");
     list("u2", "v1");
     takeUp("id2");
-    assertThat(h.last().upstream.id()).isEqualTo("u2");
-    h.last().listener.onFailure(AttemptOutcome.NOT_SENT, "refused");
+    assertThat(harness.last().upstream.id()).isEqualTo("u2");
+    harness.last().listener.onFailure(AttemptOutcome.NOT_SENT, "refused");
     takeUp("id2");
-    assertThat(h.last().upstream.id()).isEqualTo("u2");
+    assertThat(harness.last().upstream.id()).isEqualTo("u2");
   }
 
   /** Guards against an upstream that has started at another version under its old identity. */
@@ -132,13 +132,13 @@
     list("u0", "v1");
     beginStream();
     list("u1", "v1", 5);
-    h.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
-    h.scheduler.run(100);
-    assertThat(h.last().upstream.id()).isEqualTo("u1");
+    harness.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    harness.scheduler.run(100);
+    assertThat(harness.last().upstream.id()).isEqualTo("u1");
     list("u1", "v2", 9);
-    h.last().listener.onHead(200, EVENT_STREAM);
-    h.last().listener.onBytes(event(2));
-    h.scheduler.run(100);
-    assertThat(h.callerEvents).doesNotContain("id: 2").endsWith("abort");
+    harness.last().listener.onHead(200, EVENT_STREAM);
+    harness.last().listener.onBytes(event(2));
+    harness.scheduler.run(100);
+    assertThat(harness.callerEvents).doesNotContain("id: 2").endsWith("abort");
   }
 }
