Read the records of streams for a fifth of the time at most

In a fleet of 70 hosts with links of 10 Mbit/s the rows of all of them take a tenth of a second and more to read, and a daemon with many take-ups read them again every 100 ms. The interval is now five times the duration of a read. Small fleets read in a few milliseconds and go on as before. Estimated from the sizes of the rows; no run has shown it.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -34,7 +34,7 @@
   static final long RESERVATION_TIMEOUT_MILLIS = 1_500;
 
   /** Longest wait in milliseconds for the record of what began a stream. */
-  static final long ORIGIN_TIMEOUT_MILLIS = 800;
+  static final long ORIGIN_TIMEOUT_MILLIS = 1_500;
 
   /**
    * Retry advice in milliseconds while no tokens can be drawn. Another daemon may still hold some,
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -52,7 +52,13 @@
   static final double WRITE_FRACTION = 0.1;
 
   /** Least interval in milliseconds at which the rows of all daemons are read. */
-  static final long READ_INTERVAL_MILLIS = 100;
+  static final long MIN_READ_INTERVAL_MILLIS = 100;
+
+  /**
+   * Interval of the reads in durations of a read. In a large fleet the rows take up a slow link for
+   * a tenth of a second and more.
+   */
+  static final int READ_INTERVAL_DURATIONS = 5;
 
   /** Largest number of streams in one row, so that the row stays within the limit of the store. */
   static final int MAX_STREAMS = 2_000;
@@ -107,7 +113,8 @@
   private boolean isReadScheduled;
   private boolean isWriting;
   private boolean areOwnRowsKnown;
-  private long lastReadMillis = Long.MIN_VALUE / 2;
+  private long readBeganAtMillis = Long.MIN_VALUE / 2;
+  private long readMillis; // duration of the last read
   private long viewBeganAtMillis = NEVER;
   private long era;
   private boolean stopped;
@@ -209,7 +216,7 @@
       return CompletableFuture.completedFuture(only);
     }
     // A record may be written up to an interval after the first event.
-    long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + READ_INTERVAL_MILLIS);
+    long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + readIntervalMillis());
     Lookup lookup =
         new Lookup(service, request, scheduler.nowMillis() + waitMillis, new CompletableFuture<>());
     lookups.add(lookup);
@@ -242,14 +249,14 @@
       return;
     }
     isReadScheduled = true;
-    long waitMillis = lastReadMillis + READ_INTERVAL_MILLIS - scheduler.nowMillis();
+    long waitMillis = readBeganAtMillis + readIntervalMillis() - scheduler.nowMillis();
     nextRead = scheduler.schedule(Math.max(0, waitMillis), this::read);
   }
 
   private void read() {
     isReadScheduled = false;
     isReading = true;
-    lastReadMillis = scheduler.nowMillis();
+    readBeganAtMillis = scheduler.nowMillis();
     List<Lookup> asked = List.copyOf(lookups);
     readFrom("", new ArrayList<>(), asked);
   }
@@ -289,8 +296,13 @@
     return viewBeganAtMillis != NEVER && scheduler.nowMillis() - viewBeganAtMillis >= KEEP_MILLIS;
   }
 
+  private long readIntervalMillis() {
+    return Math.max(MIN_READ_INTERVAL_MILLIS, READ_INTERVAL_DURATIONS * readMillis);
+  }
+
   private void onRead(List<Row> rows, List<Lookup> asked) {
     isReading = false;
+    readMillis = scheduler.nowMillis() - readBeganAtMillis;
     for (Row r : rows) {
       try {
         apply(r);
