--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -60,6 +60,12 @@
    */
   static final int READ_INTERVAL_DURATIONS = 5;
 
+  /**
+   * Longest interval of the reads in milliseconds. The first read of a process is slow, and callers
+   * that take up a stream often have less than a second left.
+   */
+  static final long MAX_READ_INTERVAL_MILLIS = 400;
+
   /** Largest number of streams in one row, so that the row stays within the limit of the store. */
   static final int MAX_STREAMS = 2_000;
 
@@ -297,7 +303,8 @@
   }
 
   private long readIntervalMillis() {
-    return Math.max(MIN_READ_INTERVAL_MILLIS, READ_INTERVAL_DURATIONS * readMillis);
+    long spreadMillis = Math.min(MAX_READ_INTERVAL_MILLIS, READ_INTERVAL_DURATIONS * readMillis);
+    return Math.max(MIN_READ_INTERVAL_MILLIS, spreadMillis);
   }
 
   private void onRead(List<Row> rows, List<Lookup> asked) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -12,6 +12,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hibiscusreel.coordination.forward.StreamOrigins.Found;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.TableService;
+import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.coordination.testing.VirtualStoreClock;
@@ -19,6 +23,7 @@
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -38,10 +43,14 @@
     private boolean alive = true;
 
     private Daemon(String host, List<String> versions) {
+      this(host, versions, table);
+    }
+
+    private Daemon(String host, List<String> versions, TableService store) {
       use(versions);
       origins =
           new StreamOrigins(
-              new KillableTable(table, () -> alive),
+              new KillableTable(store, () -> alive),
               scheduler,
               new VirtualStoreClock(scheduler),
               this,
@@ -144,6 +153,47 @@
         .isEqualTo(expected == null ? new Found.Unknown() : new Found.Known(origin(expected)));
   }
 
+  /** Table whose scans take some time. */
+  private final class SlowTable implements TableService {
+
+    private long delayMillis;
+
+    @Override
+    public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
+      return table.transact(mutations);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(List<String> keys) {
+      return table.read(keys);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
+      CompletableFuture<ReadResult> late = new CompletableFuture<>();
+      scheduler.schedule(
+          delayMillis,
+          () -> {
+            var unused = table.scan(prefix, after, limit).thenAccept(late::complete);
+          });
+      return late;
+    }
+  }
+
+  /** Guards against callers that wait in vain because an earlier read of the records was slow. */
+  @Test
+  void asksAgainSoonAfterSlowRead() {
+    SlowTable slow = new SlowTable();
+    slow.delayMillis = 900;
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1", "v2"), slow);
+    scheduler.run(1_000);
+    slow.delayMillis = 0;
+    CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", 1_500);
+    scheduler.run(900);
+    assertThat(found).isCompletedWithValue(new Found.Unknown());
+  }
+
   /** Guards against a false answer while the store can't be asked. */
   @ParameterizedTest
   @CsvSource({"1_000, false", "30_000, true"})
