--- a/bench-tools/src/test/java/org/hibiscusreel/bench/sim/RestoredBudgetsTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/sim/RestoredBudgetsTest.java
@@ -17,6 +17,7 @@
 import org.hibiscusreel.coordination.forward.HolderTransport;
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.core.forward.AccountSettings;
+import org.junit.jupiter.api.Test;
 
 /**
  * Simulates one client account on several hosts while the store is restored from older copies,
@@ -30,6 +31,7 @@
   private static final long START_MILLIS = 8_000;
   private static final long TIMEOUT_MILLIS = 1_000;
   private static final int[] LAST_SIZES = {2_000, 500, 50, 10};
+  private static final int LOSSES_OF_ALL_HOSTS = 50;
   private static final double LOST_MESSAGES = 0.05;
 
   /**
@@ -38,7 +40,15 @@
    */
   @Property(tries = 150, seed = "20261206")
   void neverSpendsMoreThanPrepaidWithRestoredStore(@ForAll long seed) {
-    new Day(new Random(seed)).play();
+    new Day(new Random(seed), false).play();
+  }
+
+  /** Guards against tokens that are forgotten with all hosts that knew who had drawn them. */
+  @Test
+  void neverSpendsMoreThanPrepaidAfterTheLossOfAllHosts() {
+    for (long seed = 0; seed < LOSSES_OF_ALL_HOSTS; seed++) {
+      new Day(new Random(seed * 7_919), true).play();
+    }
   }
 
   /** One simulated day. */
@@ -46,6 +56,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final Random random;
+    private final boolean losesAllHosts;
     private final RestorableStore store;
     private final Map<String, Consumer<HolderCopy>> receivers = new HashMap<>();
     private final List<SimulatedProcess> processes = new ArrayList<>();
@@ -54,7 +65,8 @@
     private long consumed;
     private int served;
 
-    private Day(Random random) {
+    private Day(Random random, boolean losesAllHosts) {
+      this.losesAllHosts = losesAllHosts;
       this.random = random;
       this.store = new RestorableStore(time, random);
       this.prepaid = 150_000L + random.nextInt(400_000);
@@ -177,8 +189,11 @@
       store.setSlowResponseProbability(random.nextInt(3) * 0.02);
       final long firstRestore = START_MILLIS + 3_000L + random.nextInt(8_000);
       final long secondRestore = firstRestore + 3_000L + random.nextInt(9_000);
-      final boolean restoresTwice = random.nextBoolean();
-      final long killAt = firstRestore - 6_000L + random.nextInt(14_000);
+      final boolean restoresTwice = random.nextBoolean() && !losesAllHosts;
+      final long killAt =
+          losesAllHosts
+              ? firstRestore - 3_000L + random.nextInt(3_000)
+              : firstRestore - 6_000L + random.nextInt(14_000);
       final int killed = random.nextInt(HOSTS);
       final int busy = random.nextInt(HOSTS);
       final int size = 200 + random.nextInt(1_500);
@@ -191,7 +206,11 @@
           restore();
         }
         if (at >= killAt && at < killAt + STEP_MILLIS) {
-          kill(killed, 2);
+          for (int h = 0; h < HOSTS; h++) {
+            if (losesAllHosts || h == killed) {
+              kill(h, 2);
+            }
+          }
         }
         if (at % 200 == 0) {
           request(random.nextInt(HOSTS), 1 + random.nextInt(2 * size));
