--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PrepaidBudgets.java
@@ -173,7 +173,7 @@
     if (era == table.era()) {
       return;
     }
-    // This daemon knows of no other host yet what those know that were there before.
+    // A daemon that has just started has no copies yet, so that others go first.
     final long startMillis = era == 0 ? AccountBudget.MIN_DECLARATION_MILLIS : 0;
     era = table.era();
     eraBeganAtMillis = scheduler.nowMillis() + startMillis;
