--- a/review/lib-2/Daemon.java
+++ b/review/lib-2/Daemon.java
@@ -105,6 +105,8 @@
     b.environment().put("HIBISCUSREEL_CONFIG", settings().toString());
     b.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
     process = b.start();
+    Process started = process;
+    Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
   }
 
   /** Waits until the daemon says that it is ready. */
--- a/review/lib-2/StaleView.java
+++ b/review/lib-2/StaleView.java
@@ -2,7 +2,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,7 +32,7 @@
   }
 
   public static void main(String[] arguments) throws Exception {
-    Path folder = Files.createTempDirectory("review");
+    Path folder = Record.newFolder();
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int status = 2;
     try (Record record = new Record(Path.of(arguments[0]))) {
