--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,7 +5,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
 jackson="$(echo target/hibiscusreel-platform/lib/jackson-*.jar | tr ' ' ':')"
-"${JAVA_HOME:+$JAVA_HOME/bin/}java" -Xmx512m -cp "target/review-2:$jackson" SilentEngine "$here/record.txt"
+"${JAVA_HOME:+$JAVA_HOME/bin/}java" -Xmx512m -cp "target/review-2:$jackson" StaleView "$here/record.txt"
 case $? in
   0) exit 0 ;;
   11) exit 1 ;;
