Log from what the version of a stream is concluded, and how old the view is

Callers saw streams of two software versions (ORDER). The line stream_origin was written only when nothing was found, so that a wrong conclusion left no trace. It now has the source of each answer and the age of the view; no answer changes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -94,6 +95,17 @@
     record Unavailable() implements Found {}
   }
 
+  /** What an answer was concluded from. */
+  private enum Source {
+    NONE,
+    /** The record of the stream in the store. */
+    RECORD,
+    /** The versions in the rows of all daemons and in the view of this one. */
+    ROWS,
+    /** The view of this daemon alone. */
+    VIEW
+  }
+
   private record Begun(StreamOrigin origin, long atMillis) {}
 
   private record Lookup(
@@ -219,6 +231,7 @@
       return CompletableFuture.completedFuture(new Found.Known(begun.get().origin()));
     }
     if (hasLongView() && conclude(service) instanceof Found.Known only) {
+      record(request, service, only, Source.VIEW);
       return CompletableFuture.completedFuture(only);
     }
     // A record may be written up to an interval after the first event.
@@ -226,30 +239,38 @@
     Lookup lookup =
         new Lookup(service, request, scheduler.nowMillis() + waitMillis, new CompletableFuture<>());
     lookups.add(lookup);
-    scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable()));
+    scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable(), Source.NONE));
     scheduleRead();
     return lookup.found();
   }
 
-  private void end(Lookup lookup, Found found) {
+  private void end(Lookup lookup, Found found, Source source) {
     if (lookups.remove(lookup)) {
-      if (!(found instanceof Found.Known)) {
-        log.record(
-            "stream_origin",
-            Map.of(
-                "request",
-                lookup.request().orElse(""),
-                "service",
-                lookup.service(),
-                "candidates",
-                candidates(lookup.service()).stream().map(StreamOrigin::softwareVersion).toList(),
-                "outcome",
-                found.getClass().getSimpleName()));
-      }
+      record(lookup.request(), lookup.service(), found, source);
       lookup.found().complete(found);
     }
   }
 
+  private void record(Optional<String> request, String service, Found found, Source source) {
+    log.record(
+        "stream_origin",
+        Map.of(
+            "request",
+            request.orElse(""),
+            "service",
+            service,
+            "candidates",
+            candidates(service).stream().map(StreamOrigin::softwareVersion).toList(),
+            "source",
+            source.name().toLowerCase(Locale.ROOT),
+            "upstreams_age_ms",
+            fleet.upstreamDataAgeMillis(),
+            "outcome",
+            found instanceof Found.Known k
+                ? k.origin().softwareVersion()
+                : found.getClass().getSimpleName()));
+  }
+
   private void scheduleRead() {
     if (isReading || isReadScheduled || stopped) {
       return;
@@ -290,7 +311,11 @@
     isReading = false;
     for (Lookup l : asked) {
       // What this daemon has seen itself may be enough.
-      end(l, hasLongView() ? conclude(l.service()) : new Found.Unavailable());
+      if (hasLongView()) {
+        end(l, conclude(l.service()), Source.VIEW);
+      } else {
+        end(l, new Found.Unavailable(), Source.NONE);
+      }
     }
     if (!areOwnRowsKnown || !lookups.isEmpty()) {
       scheduleRead();
@@ -322,11 +347,11 @@
     for (Lookup l : asked) {
       Optional<Begun> begun = l.request().map(known::get);
       if (begun.isPresent()) {
-        end(l, new Found.Known(begun.get().origin()));
+        end(l, new Found.Known(begun.get().origin()), Source.RECORD);
       } else if (l.request().isEmpty() || scheduler.nowMillis() >= l.untilMillis()) {
-        end(l, conclude(l.service()));
+        end(l, conclude(l.service()), Source.ROWS);
       } else if (conclude(l.service()) instanceof Found.Known only) {
-        end(l, only);
+        end(l, only, Source.ROWS);
       }
     }
     if (!lookups.isEmpty()) {
