--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -57,14 +58,19 @@
   private static final long NO_POSITION = -1;
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** A question that a poll answers which is started later, with this number or a higher one. */
+  private record Question(long firstCall, CompletableFuture<Boolean> answer) {}
+
   /** A poll or full read in progress. */
   private record Call(
+      long number,
       boolean isFullRead,
       long waitMillis,
       long startedAtMillis,
       CompletableFuture<ChangeFeed.Result> result) {}
 
   private final Deque<Call> calls = new ArrayDeque<>();
+  private final List<Question> questions = new ArrayList<>();
   private final ChangeFeed feed;
   private final String table;
   private final Scheduler scheduler;
@@ -81,6 +87,8 @@
   private long lastResponseAtMillis;
   private long knownAsOfMillis = NEVER;
   private long lastReadMillis;
+  private long lastCall; // number of the last call
+  private long followedSinceMillis = NEVER;
 
   FeedFollower(
       ChangeFeed feed, String table, Scheduler scheduler, DecisionLog log, Listener listener) {
@@ -116,6 +124,45 @@
     return knownAsOfMillis == NEVER ? Long.MAX_VALUE : scheduler.nowMillis() - knownAsOfMillis;
   }
 
+  /**
+   * Returns for how long all changes were received, in milliseconds, 0 if none were. A read of all
+   * rows begins it anew, since rows may have come and gone before.
+   */
+  long followedMillis() {
+    return followedSinceMillis == NEVER ? 0 : scheduler.nowMillis() - followedSinceMillis;
+  }
+
+  /**
+   * Asks the store for what has changed until now. The age of the last answer does not tell: a
+   * process that stood still does not know for how long.
+   *
+   * @param timeoutMillis longest wait in milliseconds
+   * @return true once all changes before this call were received, false if the store did not answer
+   */
+  CompletableFuture<Boolean> catchUp(long timeoutMillis) {
+    Question question = new Question(lastCall + 1, new CompletableFuture<>());
+    questions.add(question);
+    Cancellable timeout = scheduler.schedule(timeoutMillis, () -> end(question, false));
+    var unused = question.answer().thenAccept(known -> timeout.cancel());
+    if (calls.stream().allMatch(c -> c.waitMillis() > 0)) {
+      call();
+    }
+    return question.answer();
+  }
+
+  private void end(Question question, boolean isKnown) {
+    questions.remove(question);
+    question.answer().complete(isKnown);
+  }
+
+  /** Answers the questions that were asked before a call was started. */
+  private void answer(Call call, boolean isKnown) {
+    questions.stream()
+        .filter(q -> q.firstCall() <= call.number())
+        .toList()
+        .forEach(q -> end(q, isKnown));
+  }
+
   private void call() {
     nextCall.cancel();
     if (stopped) {
@@ -126,9 +173,11 @@
     }
     boolean isFullRead = needsFullRead || prefersFullRead;
     // A poll after a full read does not wait, so that it confirms the read at once.
-    long waitMillis = isFullRead || !isConfirmed ? 0 : POLL_TIMEOUT_MILLIS;
+    boolean isUrgent = isFullRead || !isConfirmed || !questions.isEmpty();
+    long waitMillis = isUrgent ? 0 : POLL_TIMEOUT_MILLIS;
     Call call =
         new Call(
+            ++lastCall,
             isFullRead,
             waitMillis,
             scheduler.nowMillis(),
@@ -144,6 +193,7 @@
         "store_call_overdue",
         Map.of("table", table, "in_progress", calls.size(), "age_ms", knowledgeAgeMillis()));
     onUnavailable("no response within " + elapsedMillis(call) + " ms");
+    answer(call, false);
     call();
   }
 
@@ -206,6 +256,7 @@
     if (call.isFullRead()) {
       needsFullRead = false;
       isConfirmed = false;
+      followedSinceMillis = scheduler.nowMillis();
       notifyListener(() -> listener.onFullRead(c.changes()));
     } else {
       isConfirmed = true;
@@ -213,6 +264,7 @@
       if (!c.changes().isEmpty()) {
         notifyListener(() -> listener.onChanges(c.changes()));
       }
+      answer(call, true);
     }
     call();
   }
@@ -289,6 +341,7 @@
             "reason",
             reason));
     onUnavailable(reason);
+    answer(call, false);
     // Many versions of a large row may be written during an outage, of which a read has only the
     // newest.
     prefersFullRead = true;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.ChangeFeed;
@@ -76,6 +77,13 @@
      */
     void onConfiguration(ForwardingTable table);
 
+    /**
+     * Called when an upstream was listed or its entry changed.
+     *
+     * @param upstream its entry
+     */
+    default void onUpstreamListed(UpstreamEntry upstream) {}
+
     /**
      * Called when upstreams were removed.
      *
@@ -223,6 +231,16 @@
     return upstreamRows.ageMillis();
   }
 
+  @Override
+  public long upstreamsFollowedMillis() {
+    return upstreamRows.followedMillis();
+  }
+
+  @Override
+  public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+    return upstreamRows.catchUp(timeoutMillis);
+  }
+
   @Override
   public int daemonCount() {
     return daemons;
@@ -368,8 +386,9 @@
           drop(c, u.reason(), removed);
         }
       }
-      List<String> missing = upstreams.replaceAll(entries, scheduler.nowMillis());
       upstreamsKnown = true;
+      entries.forEach(listener::onUpstreamListed);
+      List<String> missing = upstreams.replaceAll(entries, scheduler.nowMillis());
       log.record("upstreams", Map.of("known", upstreams.size()));
       missing.forEach(id -> log.record("upstream_gone", Map.of("upstream", id)));
       removed.addAll(missing);
@@ -412,6 +431,7 @@
 
     private void put(UpstreamEntry e) {
       if (upstreams.put(e)) {
+        listener.onUpstreamListed(e);
         log.record(
             "upstream",
             Map.of(
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 
@@ -43,6 +44,22 @@
    */
   long upstreamDataAgeMillis();
 
+  /**
+   * Returns for how long all changes of the upstreams were received.
+   *
+   * @return milliseconds, 0 if the upstreams are not known
+   */
+  long upstreamsFollowedMillis();
+
+  /**
+   * Asks the store for the changes of the upstreams until now.
+   *
+   * @param timeoutMillis longest wait in milliseconds
+   * @return true once the catalog has all changes before this call, false if the store did not
+   *     answer; completes on the event loop and never exceptionally
+   */
+  CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis);
+
   /**
    * Returns the number of daemons that share budgets.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -148,18 +148,50 @@
     } else if (found instanceof StreamOrigins.Found.Known k) {
       StreamOrigin o = k.origin();
       boolean isRouted = route.services().stream().anyMatch(s -> s.service().equals(o.service()));
-      if (isRouted && forwarder.hasUpstream(o)) {
-        origin = Optional.of(o);
-        service = service(o.service());
-        begin();
+      if (!isRouted) {
+        refuse(Refusal.Kind.NOT_RUN, 0, "the route no longer leads to the service of the stream");
+      } else if (forwarder.hasUpstream(o)) {
+        goOnAt(o);
       } else {
-        refuse(Refusal.Kind.NOT_RUN, 0, "no upstream is left that can go on with the stream");
+        awaitUpstream(o);
       }
     } else {
       refuse(Refusal.Kind.NOT_RUN, 0, "it is not known at which version the stream began");
     }
   }
 
+  private void goOnAt(StreamOrigin o) {
+    origin = Optional.of(o);
+    service = service(o.service());
+    begin();
+  }
+
+  /** Refuses for good only if the upstreams of now are known. */
+  private void awaitUpstream(StreamOrigin o) {
+    var unused =
+        forwarder
+            .fleet()
+            .catchUpWithUpstreams(
+                Math.min(StreamOrigins.CATCH_UP_TIMEOUT_MILLIS, remainingMillis()))
+            .thenAccept(
+                isCurrent -> {
+                  if (!ended) {
+                    runStep(() -> onUpstreams(o, isCurrent));
+                  }
+                });
+  }
+
+  private void onUpstreams(StreamOrigin o, boolean areCurrent) {
+    if (forwarder.hasUpstream(o)) {
+      goOnAt(o);
+    } else {
+      refuse(
+          Refusal.Kind.NOT_RUN,
+          areCurrent ? 0 : STORE_UNAVAILABLE_RETRY_AFTER_MILLIS,
+          "no upstream is known that can go on with the stream");
+    }
+  }
+
   /** Returns whether the request may be sent to an upstream. */
   private boolean isEligible(UpstreamEntry upstream) {
     return !triedUpstreams.contains(upstream.id())
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -6,13 +6,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
 import org.hibiscusreel.core.membership.RendezvousHash;
@@ -64,6 +68,15 @@
   /** Largest number of leaving upstreams in a report, so that it fits into a datagram. */
   static final int MAX_REPORTED_LEAVING = 30;
 
+  /**
+   * Age in milliseconds up to which unchanged versions are not reported again. It is shorter than
+   * the interval of the repeated reports, so that each of these has them.
+   */
+  static final long VERSIONS_INTERVAL_MILLIS = REPEAT_INTERVAL_MILLIS - 100;
+
+  /** Largest number of versions in a report, so that it fits into a datagram. */
+  static final int MAX_REPORTED_VERSIONS = 100;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -90,6 +103,14 @@
      * @param instance the upstream
      */
     default void onLeaving(LeavingUpstream instance) {}
+
+    /**
+     * Called with the versions of upstreams that another daemon has seen lately.
+     *
+     * @param sender incarnation of the daemon
+     * @param versions the versions
+     */
+    default void onUpstreamVersions(String sender, List<StreamOrigin> versions) {}
   }
 
   private final Scheduler scheduler;
@@ -100,6 +121,7 @@
   private final PeerLoads peerLoads = new PeerLoads();
   private final UpstreamLimits limits = new UpstreamLimits();
   private final LongSupplier ownVersion;
+  private final Supplier<Set<StreamOrigin>> upstreamVersions;
   private final PeerListener peerListener;
   private final Map<LeavingUpstream, Long> announcedUntilMillis = new LinkedHashMap<>();
   private final Map<String, Integer> ownRanks = new HashMap<>();
@@ -109,6 +131,8 @@
   private boolean isReportScheduled;
   private boolean wasLastReportEmpty = true;
   private long lastReportedVersion;
+  private Set<StreamOrigin> lastUpstreamVersions = Set.of();
+  private long upstreamVersionsSentAtMillis;
   private boolean stopped;
 
   /**
@@ -119,6 +143,7 @@
    * @param self incarnation and address of this daemon
    * @param daemonCount supplies the number of daemons, too high rather than too low
    * @param ownVersion version of the configuration that this daemon has confirmed lately, 0 if none
+   * @param upstreamVersions versions of the upstreams' software that this daemon has seen lately
    * @param peerListener receives what the reports of other daemons say beside the load
    * @throws NullPointerException if an argument is null
    */
@@ -128,12 +153,14 @@
       Identity self,
       IntSupplier daemonCount,
       LongSupplier ownVersion,
+      Supplier<Set<StreamOrigin>> upstreamVersions,
       PeerListener peerListener) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.self = Objects.requireNonNull(self, "self");
     this.daemonCount = Objects.requireNonNull(daemonCount, "daemonCount");
     this.ownVersion = Objects.requireNonNull(ownVersion, "ownVersion");
+    this.upstreamVersions = Objects.requireNonNull(upstreamVersions, "upstreamVersions");
     this.peerListener = Objects.requireNonNull(peerListener, "peerListener");
   }
 
@@ -144,6 +171,7 @@
           long now = scheduler.nowMillis();
           if (peerLoads.onReport(r, now)) {
             limits.onReport(r.sender(), r.limits(), isCommon(), now);
+            r.versions().ifPresent(v -> peerListener.onUpstreamVersions(r.sender(), v));
           }
           peerListener.onVersion(r.configurationVersion());
           r.leaving().forEach(peerListener::onLeaving);
@@ -272,8 +300,8 @@
     scheduleReport();
   }
 
-  /** Schedules a report after a change of this daemon's load. */
-  void scheduleReport() {
+  /** Schedules a report after a change of what this daemon reports. */
+  public void scheduleReport() {
     if (isReportScheduled || peers.isEmpty()) {
       return;
     }
@@ -319,14 +347,29 @@
     List<LeavingUpstream> leaving =
         announcedUntilMillis.keySet().stream().limit(MAX_REPORTED_LEAVING).toList();
     boolean isEmpty = entries.isEmpty() && limited.isEmpty() && leaving.isEmpty();
-    boolean isUnchanged = isEmpty && wasLastReportEmpty && version == lastReportedVersion;
+    Set<StreamOrigin> versions = upstreamVersions.get();
+    boolean areVersionsNew = !versions.equals(lastUpstreamVersions);
+    boolean isUnchanged =
+        isEmpty && wasLastReportEmpty && version == lastReportedVersion && !areVersionsNew;
     if (stopped || peers.isEmpty() || isUnchanged) {
       return;
     }
     wasLastReportEmpty = isEmpty;
     lastReportedVersion = version;
     lastSentAtMillis = scheduler.nowMillis();
+    boolean areVersionsDue =
+        areVersionsNew
+            || lastSentAtMillis - upstreamVersionsSentAtMillis >= VERSIONS_INTERVAL_MILLIS;
+    if (areVersionsDue) {
+      upstreamVersionsSentAtMillis = lastSentAtMillis;
+      lastUpstreamVersions = versions;
+    }
+    Optional<List<StreamOrigin>> reported =
+        Optional.of(versions.stream().limit(MAX_REPORTED_VERSIONS).toList())
+            .filter(v -> areVersionsDue);
     transport.send(
-        peers, new LoadReport(self.incarnation(), ++sequence, version, entries, limited, leaving));
+        peers,
+        new LoadReport(
+            self.incarnation(), ++sequence, version, entries, limited, leaving, reported));
   }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -0,0 +1,61 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hibiscusreel.core.forward.StreamOrigin;
+
+/** Versions of the upstreams that the other daemons have seen lately, as they report them. */
+final class PeerVersions {
+
+  private record Report(Set<StreamOrigin> versions, long atMillis) {}
+
+  private final Map<String, Report> bySender = new HashMap<>();
+
+  /**
+   * Processes a report, which replaces the earlier ones of its sender.
+   *
+   * @param sender incarnation of the daemon
+   * @param versions versions that it has seen lately
+   * @param nowMillis monotonic time in milliseconds
+   */
+  void onReport(String sender, Collection<StreamOrigin> versions, long nowMillis) {
+    bySender.put(sender, new Report(Set.copyOf(versions), nowMillis));
+  }
+
+  /** Forgets the reports that were received before a time. */
+  void expire(long millis) {
+    bySender.values().removeIf(r -> r.atMillis() < millis);
+  }
+
+  /**
+   * Returns whether reports received after a time, with the view of this daemon, are those of most
+   * daemons. A daemon that hears fewer may be cut off with them from all that know of a version.
+   *
+   * @param millis monotonic time in milliseconds
+   * @param daemons number of daemons, with this one
+   */
+  boolean areMost(long millis, int daemons) {
+    return 2 * (since(millis).size() + 1) > daemons;
+  }
+
+  /**
+   * Returns the versions of a service in the reports that were received after a time.
+   *
+   * @param service name of the service
+   * @param millis monotonic time in milliseconds
+   */
+  Set<StreamOrigin> versions(String service, long millis) {
+    Set<StreamOrigin> result = new HashSet<>();
+    since(millis).forEach(r -> result.addAll(r.versions()));
+    result.removeIf(v -> !v.service().equals(service));
+    return result;
+  }
+
+  private List<Report> since(long millis) {
+    return bySender.values().stream().filter(r -> r.atMillis() > millis).toList();
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -2,8 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -26,6 +25,7 @@
 import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.VersionSightings;
 
 /**
  * Knows at which version of a service the streams of the last seconds have begun, also those of
@@ -67,13 +67,18 @@
    */
   static final long MAX_READ_INTERVAL_MILLIS = 400;
 
+  /** Longest wait in milliseconds for the store's changes of the upstreams. */
+  static final long CATCH_UP_TIMEOUT_MILLIS = 600;
+
+  /** Time in milliseconds in which each daemon under load sends a report of its versions. */
+  static final long PEER_REPORTS_MILLIS = LoadExchange.REPEAT_INTERVAL_MILLIS + 100;
+
   /** Largest number of streams in one row, so that the row stays within the limit of the store. */
   static final int MAX_STREAMS = 2_000;
 
   /** Length of an identifier above which a stream is not recorded. */
   static final int MAX_ID_LENGTH = 64;
 
-  private static final long NEVER = Long.MIN_VALUE;
   private static final String PREFIX = "streams//";
   private static final int MAX_ROWS = 500;
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -103,13 +108,19 @@
     /** The versions in the rows of all daemons and in the view of this one. */
     ROWS,
     /** The view of this daemon alone. */
-    VIEW
+    VIEW,
+    /** The view of this daemon and the reports of most others. */
+    PEERS
   }
 
   private record Begun(StreamOrigin origin, long atMillis) {}
 
   private record Lookup(
-      String service, Optional<String> request, long untilMillis, CompletableFuture<Found> found) {}
+      String service,
+      Optional<String> request,
+      long askedAtMillis,
+      long untilMillis,
+      CompletableFuture<Found> found) {}
 
   private final TableService table;
   private final Scheduler scheduler;
@@ -122,8 +133,9 @@
   private final Map<String, Begun> known = new LinkedHashMap<>();
   private final TreeMap<Long, Map<String, StreamOrigin>> ownRows = new TreeMap<>();
   private final Set<Long> unwritten = new TreeSet<>();
-  private final Map<StreamOrigin, Long> seenAtMillis = new HashMap<>();
-  private final Map<StreamOrigin, Long> reportedAtMillis = new HashMap<>();
+  private final VersionSightings seen = new VersionSightings();
+  private final VersionSightings recorded = new VersionSightings();
+  private final PeerVersions peerVersions = new PeerVersions();
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of();
   private Cancellable nextRead = () -> {};
@@ -133,7 +145,6 @@
   private boolean areOwnRowsKnown;
   private long readBeganAtMillis = Long.MIN_VALUE / 2;
   private long readMillis; // duration of the last read
-  private long viewBeganAtMillis = NEVER;
   private long era;
   private boolean stopped;
 
@@ -205,6 +216,38 @@
     }
   }
 
+  /**
+   * Records that an upstream was listed. It may have left again before the view is next looked at.
+   *
+   * @param upstream its entry
+   */
+  public void onListed(UpstreamEntry upstream) {
+    seen.add(StreamOrigin.of(upstream), scheduler.nowMillis());
+  }
+
+  /**
+   * Returns the versions that this daemon has seen lately, for reports to the others.
+   *
+   * @return a copy
+   */
+  public Set<StreamOrigin> seenVersions() {
+    observe();
+    seen.expire(scheduler.nowMillis() - KEEP_MILLIS);
+    return seen.all();
+  }
+
+  /**
+   * Records the versions that another daemon has seen lately.
+   *
+   * @param sender incarnation of the daemon
+   * @param versions the versions
+   */
+  public void onPeerVersions(String sender, Collection<StreamOrigin> versions) {
+    long now = scheduler.nowMillis();
+    peerVersions.expire(now - KEEP_MILLIS);
+    peerVersions.onReport(sender, versions, now);
+  }
+
   private void keep(String request, StreamOrigin origin, long atMillis) {
     // The oldest record comes first, so that expired ones are found without a search.
     known.remove(request);
@@ -230,14 +273,10 @@
     if (begun.isPresent()) {
       return CompletableFuture.completedFuture(new Found.Known(begun.get().origin()));
     }
-    if (hasLongView() && conclude(service) instanceof Found.Known only) {
-      record(request, service, only, Source.VIEW);
-      return CompletableFuture.completedFuture(only);
-    }
     // A record may be written up to an interval after the first event.
     long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + readIntervalMillis());
-    Lookup lookup =
-        new Lookup(service, request, scheduler.nowMillis() + waitMillis, new CompletableFuture<>());
+    long now = scheduler.nowMillis();
+    Lookup lookup = new Lookup(service, request, now, now + waitMillis, new CompletableFuture<>());
     lookups.add(lookup);
     scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable(), Source.NONE));
     scheduleRead();
@@ -285,10 +324,38 @@
     isReading = true;
     readBeganAtMillis = scheduler.nowMillis();
     List<Lookup> asked = List.copyOf(lookups);
-    readFrom("", new ArrayList<>(), asked);
+    var unused =
+        fleet
+            .catchUpWithUpstreams(CATCH_UP_TIMEOUT_MILLIS)
+            .thenAccept(isCurrent -> onView(isCurrent, asked));
+  }
+
+  /** Answers what the view of this daemon tells; the rest needs the rows of all daemons. */
+  private void onView(boolean isCurrent, List<Lookup> asked) {
+    if (isCurrent && hasLongView()) {
+      asked.forEach(l -> endIfCertain(l, Source.VIEW));
+    }
+    if (areOwnRowsKnown && asked.stream().allMatch(l -> l.found().isDone())) {
+      onReadEnded();
+    } else {
+      readFrom("", new ArrayList<>(), isCurrent, asked);
+    }
+  }
+
+  private void endIfCertain(Lookup lookup, Source source) {
+    if (conclude(lookup.service()) instanceof Found.Known only) {
+      end(lookup, only, source);
+    }
+  }
+
+  private void onReadEnded() {
+    isReading = false;
+    if (!areOwnRowsKnown || !lookups.isEmpty()) {
+      scheduleRead();
+    }
   }
 
-  private void readFrom(String after, List<Row> found, List<Lookup> asked) {
+  private void readFrom(String after, List<Row> found, boolean isCurrent, List<Lookup> asked) {
     var unused =
         table
             .scan(PREFIX, after, MAX_ROWS)
@@ -300,31 +367,44 @@
                   }
                   found.addAll(rows.rows());
                   if (rows.more() && !rows.rows().isEmpty()) {
-                    readFrom(rows.rows().get(rows.rows().size() - 1).key(), found, asked);
+                    String last = rows.rows().get(rows.rows().size() - 1).key();
+                    readFrom(last, found, isCurrent, asked);
                   } else {
-                    onRead(found, asked);
+                    onRead(found, isCurrent, asked);
                   }
                 });
   }
 
   private void onReadFailed(List<Lookup> asked) {
-    isReading = false;
-    for (Lookup l : asked) {
-      // What this daemon has seen itself may be enough.
-      if (hasLongView()) {
-        end(l, conclude(l.service()), Source.VIEW);
-      } else {
-        end(l, new Found.Unavailable(), Source.NONE);
+    asked.forEach(this::awaitPeers);
+    onReadEnded();
+  }
+
+  /**
+   * Asks the other daemons for what the store can't be asked. Only reports that come after the
+   * question show what they knew when the stream broke off.
+   */
+  private void awaitPeers(Lookup lookup) {
+    long waitMillis = lookup.askedAtMillis() + PEER_REPORTS_MILLIS - scheduler.nowMillis();
+    scheduler.schedule(Math.max(0, waitMillis), () -> endFromPeers(lookup));
+  }
+
+  private void endFromPeers(Lookup lookup) {
+    long askedAt = lookup.askedAtMillis();
+    if (hasLongView() && peerVersions.areMost(askedAt, daemons.getAsInt())) {
+      Set<StreamOrigin> candidates = candidates(lookup.service());
+      candidates.addAll(peerVersions.versions(lookup.service(), askedAt));
+      if (candidates.size() == 1) {
+        end(lookup, new Found.Known(candidates.iterator().next()), Source.PEERS);
+        return;
       }
     }
-    if (!areOwnRowsKnown || !lookups.isEmpty()) {
-      scheduleRead();
-    }
+    end(lookup, new Found.Unavailable(), Source.NONE);
   }
 
-  /** Returns whether this daemon itself has seen all versions that a stream can have begun at. */
+  /** Returns whether this daemon has seen all versions that a stream can have begun at. */
   private boolean hasLongView() {
-    return viewBeganAtMillis != NEVER && scheduler.nowMillis() - viewBeganAtMillis >= KEEP_MILLIS;
+    return fleet.upstreamsFollowedMillis() >= KEEP_MILLIS;
   }
 
   private long readIntervalMillis() {
@@ -332,8 +412,7 @@
     return Math.max(MIN_READ_INTERVAL_MILLIS, spreadMillis);
   }
 
-  private void onRead(List<Row> rows, List<Lookup> asked) {
-    isReading = false;
+  private void onRead(List<Row> rows, boolean isCurrent, List<Lookup> asked) {
     readMillis = scheduler.nowMillis() - readBeganAtMillis;
     for (Row r : rows) {
       try {
@@ -348,15 +427,15 @@
       Optional<Begun> begun = l.request().map(known::get);
       if (begun.isPresent()) {
         end(l, new Found.Known(begun.get().origin()), Source.RECORD);
+      } else if (!isCurrent) {
+        awaitPeers(l);
       } else if (l.request().isEmpty() || scheduler.nowMillis() >= l.untilMillis()) {
         end(l, conclude(l.service()), Source.ROWS);
-      } else if (conclude(l.service()) instanceof Found.Known only) {
-        end(l, only, Source.ROWS);
+      } else {
+        endIfCertain(l, Source.ROWS);
       }
     }
-    if (!lookups.isEmpty()) {
-      scheduleRead();
-    }
+    onReadEnded();
   }
 
   private void apply(Row row) throws IOException {
@@ -369,7 +448,7 @@
     boolean isOwn = row.key().startsWith(PREFIX + host + ".");
     for (OriginRow.Versions v : content.versions()) {
       for (String software : v.software()) {
-        reportedAtMillis.merge(new StreamOrigin(v.service(), software), atMillis, Math::max);
+        recorded.add(new StreamOrigin(v.service(), software), atMillis);
       }
     }
     for (OriginRow.Streams s : content.streams()) {
@@ -396,30 +475,16 @@
 
   private Set<StreamOrigin> candidates(String service) {
     observe();
-    Set<StreamOrigin> candidates = new HashSet<>();
     long oldest = scheduler.nowMillis() - KEEP_MILLIS;
-    seenAtMillis.forEach(
-        (origin, at) -> {
-          if (origin.service().equals(service) && at >= oldest) {
-            candidates.add(origin);
-          }
-        });
-    reportedAtMillis.forEach(
-        (origin, at) -> {
-          if (origin.service().equals(service) && at >= oldest - ROW_MILLIS) {
-            candidates.add(origin);
-          }
-        });
+    Set<StreamOrigin> candidates = seen.since(service, oldest);
+    candidates.addAll(recorded.since(service, oldest - ROW_MILLIS));
     return candidates;
   }
 
   /** Notes the versions that the upstreams have now. */
   private void observe() {
     long now = scheduler.nowMillis();
-    for (UpstreamEntry e : fleet.upstreams().all()) {
-      viewBeganAtMillis = viewBeganAtMillis == NEVER ? now : viewBeganAtMillis;
-      seenAtMillis.put(StreamOrigin.of(e), now);
-    }
+    fleet.upstreams().all().forEach(e -> seen.add(StreamOrigin.of(e), now));
   }
 
   private void expire() {
@@ -444,27 +509,23 @@
       era = table.era();
       unwritten.addAll(ownRows.keySet());
     }
-    Set<StreamOrigin> seen = seen();
-    if (!seen.equals(written)) {
+    Set<StreamOrigin> versions = seenVersions();
+    recorded.expire(scheduler.nowMillis() - KEEP_MILLIS - ROW_MILLIS);
+    if (!versions.equals(written)) {
       unwritten.add(currentRow());
     }
     if (!isWriting && areOwnRowsKnown && clock.millis() > 0 && !unwritten.isEmpty()) {
-      write(seen);
+      write(versions);
     }
   }
 
-  private Set<StreamOrigin> seen() {
-    seenAtMillis.values().removeIf(at -> at < scheduler.nowMillis() - KEEP_MILLIS);
-    return Set.copyOf(seenAtMillis.keySet());
-  }
-
-  private void write(Set<StreamOrigin> seen) {
+  private void write(Set<StreamOrigin> versions) {
     isWriting = true;
     List<Long> numbers = List.copyOf(unwritten);
     unwritten.clear();
     List<Mutation> rows = new ArrayList<>();
     for (long n : numbers) {
-      rows.add(Mutation.put(key(n), Json.write(toRow(n, seen))));
+      rows.add(Mutation.put(key(n), Json.write(toRow(n, versions))));
     }
     var unused =
         table
@@ -473,7 +534,7 @@
                 w -> {
                   isWriting = false;
                   if (w instanceof WriteResult.Committed) {
-                    written = seen;
+                    written = versions;
                   } else {
                     unwritten.addAll(numbers);
                   }
@@ -484,17 +545,17 @@
     return PREFIX + host + "." + number % ROWS;
   }
 
-  private OriginRow toRow(long number, Set<StreamOrigin> seen) {
-    Map<String, List<String>> versions = new TreeMap<>();
-    seen.forEach(
+  private OriginRow toRow(long number, Set<StreamOrigin> versions) {
+    Map<String, List<String>> software = new TreeMap<>();
+    versions.forEach(
         o ->
-            versions.computeIfAbsent(o.service(), s -> new ArrayList<>()).add(o.softwareVersion()));
+            software.computeIfAbsent(o.service(), s -> new ArrayList<>()).add(o.softwareVersion()));
     Map<StreamOrigin, List<String>> streams = new LinkedHashMap<>();
     ownRows
         .getOrDefault(number, Map.of())
         .forEach((id, o) -> streams.computeIfAbsent(o, k -> new ArrayList<>()).add(id));
     List<OriginRow.Versions> v = new ArrayList<>();
-    versions.forEach((service, software) -> v.add(new OriginRow.Versions(service, software)));
+    software.forEach((service, names) -> v.add(new OriginRow.Versions(service, names)));
     List<OriginRow.Streams> s = new ArrayList<>();
     streams.forEach(
         (o, ids) -> s.add(new OriginRow.Streams(o.service(), o.softwareVersion(), ids)));
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FeedFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FeedFollowerTest.java
@@ -12,12 +12,14 @@
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.ChangeFeed.Change;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
+import org.junit.jupiter.api.Test;
 
 class FeedFollowerTest {
 
   private static final String TABLE = "t";
   private static final long STEP_MILLIS = 50;
   private static final int FAULTY_STEPS = 1_200;
+  private static final long CATCH_UP_MILLIS = 600;
 
   /** Longest time that a call of the feed may take; it fails afterwards. */
   private static final long CALL_TIMEOUT_MILLIS = 10_000;
@@ -181,6 +183,62 @@
     assertThat(known.reverted).isZero();
   }
 
+  /**
+   * Guards against a conclusion from rows that have changed before it was asked for, and against a
+   * question that is never answered.
+   */
+  @Property(tries = 20, seed = "46")
+  void knowsAllChangesBeforeItWasAskedToCatchUp(@ForAll long seed) {
+    final Random random = new Random(seed);
+    FaultyStore store = new FaultyStore(seed);
+    Known known = new Known();
+    FeedFollower follower = new FeedFollower(store, TABLE, scheduler, (e, f) -> {}, known);
+    follower.start();
+    List<Integer> missing = new ArrayList<>();
+    int answered = 0;
+    for (int i = 0; i < FAULTY_STEPS; i++) {
+      store.changeFaults();
+      scheduler.run(STEP_MILLIS);
+      if (i % 5 == 0) {
+        int newest = store.newest();
+        CompletableFuture<Boolean> isCaughtUp = follower.catchUp(CATCH_UP_MILLIS);
+        var unused =
+            isCaughtUp.thenAccept(
+                is -> {
+                  if (is && known.number < newest) {
+                    missing.add(newest);
+                  }
+                });
+        scheduler.run(random.nextInt((int) CATCH_UP_MILLIS));
+        answered += isCaughtUp.getNow(false) ? 1 : 0;
+      }
+    }
+    scheduler.run(CATCH_UP_MILLIS);
+    assertThat(missing).isEmpty();
+    assertThat(answered).isPositive();
+    store.repair();
+    scheduler.run(2 * FeedFollower.OVERDUE_MILLIS);
+    CompletableFuture<Boolean> last = follower.catchUp(CATCH_UP_MILLIS);
+    scheduler.run(10);
+    assertThat(last).isCompletedWithValue(true);
+  }
+
+  /** Guards against a row that came and went while the changes were not received. */
+  @Test
+  void followsAnewAfterReadOfAllRows() {
+    FaultyStore store = new FaultyStore(1);
+    FeedFollower follower = new FeedFollower(store, TABLE, scheduler, (e, f) -> {}, new Known());
+    assertThat(follower.followedMillis()).isZero();
+    follower.start();
+    scheduler.run(5_000);
+    assertThat(follower.followedMillis()).isGreaterThan(4_900);
+    store.isRefusing = true;
+    scheduler.run(2_000);
+    store.isRefusing = false;
+    scheduler.run(1_000);
+    assertThat(follower.followedMillis()).isLessThan(1_000);
+  }
+
   private void assertAgeIsTrue(FaultyStore store, Known known, FeedFollower follower) {
     long age = follower.knowledgeAgeMillis();
     if (age != Long.MAX_VALUE) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
@@ -46,6 +48,7 @@
   final Forwarder forwarder;
   Refusal refusal;
   boolean callerAcceptsMore = true;
+  boolean isStoreReachable = true;
   Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
   Runnable onUpstreamsRead = () -> {};
   ForwardingTable current;
@@ -157,6 +160,7 @@
                 new LoadExchange.Identity("d.1", address),
                 () -> 1,
                 () -> 0,
+                Set::of,
                 v -> {}),
             crashes,
             origins,
@@ -284,6 +288,16 @@
     return 0;
   }
 
+  @Override
+  public long upstreamsFollowedMillis() {
+    return scheduler.nowMillis();
+  }
+
+  @Override
+  public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+    return CompletableFuture.completedFuture(isStoreReachable);
+  }
+
   @Override
   public int daemonCount() {
     return 2;
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LimitSimulation.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LimitSimulation.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.core.forward.LoadReport;
@@ -48,6 +49,7 @@
             new LoadExchange.Identity(address + "." + ++incarnation, address),
             () -> count,
             () -> 0,
+            Set::of,
             v -> {});
     e.start();
     List<String> others = new ArrayList<>();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -6,18 +6,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.RequestLimit;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.junit.jupiter.api.Test;
 
 class LoadExchangeTest {
 
   private final List<Long> peerVersions = new ArrayList<>();
   private final List<LeavingUpstream> peerLeaving = new ArrayList<>();
+  private final Map<String, List<StreamOrigin>> peerUpstreamVersions = new HashMap<>();
+  private Set<StreamOrigin> upstreamVersions = Set.of();
   private long version;
   private int daemonCount = 2;
 
@@ -69,6 +73,21 @@
     assertThat(peerLeaving.size()).isBetween(3, 8);
   }
 
+  /** Guards against a daemon without the store that never hears of a new version. */
+  @Test
+  void tellsOthersOfUpstreamVersions() {
+    LoadExchange a = daemon("a", "b");
+    daemon("b");
+    upstreamVersions = Set.of(new StreamOrigin("s", "v1"));
+    a.scheduleReport();
+    scheduler.run(LoadExchange.REPORT_DELAY_MILLIS);
+    assertThat(peerUpstreamVersions.get("a.1")).containsExactly(new StreamOrigin("s", "v1"));
+    peerUpstreamVersions.clear();
+    a.ownLoad("u").onSent(1);
+    scheduler.run(2 * LoadExchange.REPEAT_INTERVAL_MILLIS);
+    assertThat(peerUpstreamVersions).containsKey("a.1");
+  }
+
   private LoadExchange daemon(String name, String... peers) {
     LoadExchange e =
         new LoadExchange(
@@ -77,6 +96,7 @@
             new LoadExchange.Identity(name + ".1", name),
             () -> daemonCount,
             () -> version,
+            () -> upstreamVersions,
             new LoadExchange.PeerListener() {
               @Override
               public void onVersion(long v) {
@@ -87,6 +107,11 @@
               public void onLeaving(LeavingUpstream instance) {
                 peerLeaving.add(instance);
               }
+
+              @Override
+              public void onUpstreamVersions(String sender, List<StreamOrigin> versions) {
+                peerUpstreamVersions.put(sender, versions);
+              }
             });
     e.start();
     e.onPeers(List.of(peers));
--- /dev/null
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
@@ -0,0 +1,39 @@
+package org.hibiscusreel.coordination.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PeerVersionsTest {
+
+  private final PeerVersions peers = new PeerVersions();
+
+  private static StreamOrigin version(String software) {
+    return new StreamOrigin("s", software);
+  }
+
+  /** Guards against a conclusion from the reports of a few that are cut off together. */
+  @ParameterizedTest
+  @CsvSource({"0, 1, true", "0, 2, false", "1, 2, true", "3, 8, false", "4, 8, true", "4, 9, true"})
+  void needsReportsOfMostDaemons(int heard, int daemons, boolean expected) {
+    for (int i = 0; i < heard; i++) {
+      peers.onReport("d" + i, List.of(), 100);
+    }
+    assertThat(peers.areMost(99, daemons)).isEqualTo(expected);
+    assertThat(peers.areMost(100, daemons)).isEqualTo(daemons == 1);
+  }
+
+  @Test
+  void lastReportOfEachSenderCounts() {
+    peers.onReport("a", List.of(version("v1")), 100);
+    peers.onReport("a", List.of(version("v2"), new StreamOrigin("t", "v9")), 200);
+    peers.onReport("b", List.of(version("v3")), 50);
+    assertThat(peers.versions("s", 99)).containsExactly(version("v2"));
+    peers.expire(201);
+    assertThat(peers.versions("s", 0)).isEmpty();
+  }
+}
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -109,6 +109,19 @@
     }
   }
 
+  /** Guards against a final refusal by a daemon that does not know the upstreams of now. */
+  @ParameterizedTest
+  @CsvSource({"true, 0", "false, 400"})
+  void namesTimeToComeBackWhileUpstreamsAreNotKnown(boolean isStoreReachable, long retryMillis) {
+    harness.origins.onBegun("id2", new StreamOrigin("s", "v2"));
+    list("u0", "v1");
+    harness.isStoreReachable = isStoreReachable;
+    takeUp("id2");
+    assertThat(harness.sent).isEmpty();
+    assertThat(harness.refusal.kind()).isEqualTo(Refusal.Kind.NOT_RUN);
+    assertThat(harness.refusal.retryAfterMillis()).isEqualTo(retryMillis);
+  }
+
   /** Guards against a chain of take-ups whose later ones name the first request. */
   @Test
   void recordsTheStreamUnderTheRequestThatBroughtItsFirstEvent() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,16 +40,20 @@
   private final class Daemon implements FleetView {
 
     private final UpstreamCatalog catalog = new UpstreamCatalog();
+    private final String host;
     private final StreamOrigins origins;
     private boolean alive = true;
     private boolean isStoreReachable = true;
     private boolean isInStep = true;
+    private List<String> listed;
+    private long knownSinceMillis = scheduler.nowMillis();
 
     private Daemon(String host, List<String> versions) {
       this(host, versions, table);
     }
 
     private Daemon(String host, List<String> versions, TableService store) {
+      this.host = host;
       use(versions);
       origins =
           new StreamOrigins(
@@ -58,18 +63,21 @@
               this,
               host,
               800,
-              () -> 2,
+              this::daemonCount,
               (e, f) -> {});
       origins.start();
     }
 
+    /** Lets the store list versions, of which the daemon hears if it is in step. */
     private void follow(List<String> versions) {
+      listed = List.copyOf(versions);
       if (isInStep) {
-        use(versions);
+        use(listed);
       }
     }
 
     private void use(List<String> versions) {
+      listed = List.copyOf(versions);
       List<UpstreamEntry> entries = new ArrayList<>();
       versions.forEach(v -> entries.add(upstream(v)));
       catalog.replaceAll(entries, scheduler.nowMillis());
@@ -112,6 +120,28 @@
       return 0;
     }
 
+    @Override
+    public long upstreamsFollowedMillis() {
+      return scheduler.nowMillis() - knownSinceMillis;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+      CompletableFuture<Boolean> answer = new CompletableFuture<>();
+      scheduler.schedule(timeoutMillis, () -> answer.complete(false));
+      if (alive && isStoreReachable) {
+        scheduler.schedule(
+            2,
+            () -> {
+              if (!table.isDown) {
+                use(listed);
+              }
+              answer.complete(!table.isDown);
+            });
+      }
+      return answer;
+    }
+
     @Override
     public int daemonCount() {
       return 2;
@@ -202,15 +232,56 @@
     assertThat(found).isCompletedWithValue(new Found.Unknown());
   }
 
-  /** Guards against a false answer while the store can't be asked. */
+  /**
+   * Guards against a false answer while the store can't be asked, and against a needless refusal.
+   */
   @ParameterizedTest
-  @CsvSource({"1_000, false", "30_000, true"})
-  void answersWithoutTheStoreOnlyWhatItHasSeenItself(String upMillis, boolean isKnown) {
+  @CsvSource({
+    "1_000, v1, false",
+    "30_000, v1, true",
+    "30_000, 'v1,v2', false",
+    "30_000, v2, false",
+    "30_000, , false"
+  })
+  void answersWithoutTheStoreOnlyWhatMostDaemonsConfirm(
+      String upMillis, String reported, boolean isKnown) {
     scheduler.run(START_MILLIS);
     Daemon d = new Daemon("a", List.of("v1"));
     scheduler.run(Long.parseLong(upMillis.replace("_", "")));
     table.isDown = true;
-    assertThat(d.find("id") instanceof Found.Known).isEqualTo(isKnown);
+    // An earlier report tells nothing of streams that began since.
+    d.origins.onPeerVersions("b", List.of(origin("v1")));
+    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", TIMEOUT_MILLIS);
+    scheduler.run(100);
+    if (reported != null) {
+      d.origins.onPeerVersions(
+          "b", Arrays.stream(reported.split(",")).map(StreamOriginsTest::origin).toList());
+    }
+    scheduler.run(TIMEOUT_MILLIS);
+    assertThat(found.join())
+        .isEqualTo(isKnown ? new Found.Known(origin("v1")) : new Found.Unavailable());
+  }
+
+  /** Guards against a version that came and went between two looks at the catalog. */
+  @Test
+  void remembersVersionThatWasListedOnlyBriefly() {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(30_000);
+    d.origins.onListed(upstream("v2"));
+    assertThat(d.find("id")).isEqualTo(new Found.Unknown());
+  }
+
+  /** Guards against a version that came and went while the changes were not received. */
+  @Test
+  void concludesNothingFromItsViewAloneAfterGap() {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(30_000);
+    d.knownSinceMillis = scheduler.nowMillis();
+    new Daemon("b", List.of("v1", "v2"));
+    scheduler.run(1_000);
+    assertThat(d.find("id")).isEqualTo(new Found.Unknown());
   }
 
   /**
@@ -221,8 +292,8 @@
   @CsvSource({"true, id", "false, id", "true, ", "false, "})
   void concludesNoVersionFromAnOutdatedView(boolean isStoreReachable, String named) {
     scheduler.run(START_MILLIS);
-    Daemon first = new Daemon("a", List.of("v1"));
-    Daemon second = new Daemon("b", List.of("v1"));
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon second = new Daemon("b", List.of("v1"));
     scheduler.run(30_000);
     second.isStoreReachable = isStoreReachable;
     second.isInStep = false;
@@ -267,6 +338,17 @@
     }
   }
 
+  /** Lets each daemon report its versions to the others, which hear it also without the store. */
+  private static void reportVersions(List<Daemon> daemons) {
+    for (Daemon sender : daemons) {
+      for (Daemon receiver : daemons) {
+        if (receiver != sender) {
+          receiver.origins.onPeerVersions(sender.host, sender.origins.seenVersions());
+        }
+      }
+    }
+  }
+
   private void playDay(Random random, boolean fallOutOfStep) {
     scheduler.run(START_MILLIS);
     List<String> versions = new ArrayList<>(List.of("v1"));
@@ -326,7 +408,10 @@
                 daemons.get(random.nextInt(3)).origins.find(Optional.of(id), "s", TIMEOUT_MILLIS));
             expected.add(origin);
           });
-      scheduler.run(TIMEOUT_MILLIS);
+      for (int i = 0; i < 4; i++) {
+        scheduler.run(TIMEOUT_MILLIS / 4);
+        reportVersions(daemons);
+      }
       for (int i = 0; i < answers.size(); i++) {
         sought++;
         if (answers.get(i).join() instanceof Found.Known k) {
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.core.forward;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Load that one daemon puts on all upstreams, as reported to the other daemons. A later report
@@ -14,6 +15,8 @@
  * @param entries upstreams at which the daemon has requests
  * @param limits upstreams that have named a limit
  * @param leaving upstreams that have said lately that they are shutting down
+ * @param versions versions of the upstreams' software that the daemon has seen lately, or empty if
+ *     the report does not tell
  */
 public record LoadReport(
     String sender,
@@ -21,7 +24,8 @@
     long configurationVersion,
     List<Entry> entries,
     List<UpstreamLimits.Report> limits,
-    List<LeavingUpstream> leaving) {
+    List<LeavingUpstream> leaving,
+    Optional<List<StreamOrigin>> versions) {
 
   /**
    * Load on one upstream.
@@ -37,5 +41,6 @@
     entries = List.copyOf(entries);
     limits = List.copyOf(limits);
     leaving = List.copyOf(leaving);
+    versions = versions.map(List::copyOf);
   }
 }
--- a/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/PeerLoadsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class PeerLoadsTest {
@@ -10,7 +11,8 @@
   private final PeerLoads loads = new PeerLoads();
 
   private static LoadReport report(String sender, long sequence, LoadReport.Entry... entries) {
-    return new LoadReport(sender, sequence, 0, List.of(entries), List.of(), List.of());
+    return new LoadReport(
+        sender, sequence, 0, List.of(entries), List.of(), List.of(), Optional.empty());
   }
 
   private static LoadReport.Entry entry(String upstream, int requests, long tokens) {
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamSelectorLoadTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamSelectorLoadTest.java
@@ -201,7 +201,8 @@
           list.add(new LoadReport.Entry("u" + u, l.inFlight(), l.pendingPrefillTokens()));
         }
       }
-      LoadReport r = new LoadReport("d" + daemon, ++sequence, 0, list, List.of(), List.of());
+      LoadReport r =
+          new LoadReport("d" + daemon, ++sequence, 0, list, List.of(), List.of(), Optional.empty());
       schedule(
           REPORT_DELAY_MILLIS,
           () -> {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.hibiscusreel.coordination.forward.FleetFollower;
@@ -24,6 +25,8 @@
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LinkUse;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
@@ -176,6 +179,7 @@
             new LoadExchange.Identity(settings.incarnation(), formatAddress(settings.peers())),
             fleet::daemonCount,
             this::confirmedVersion,
+            this::seenVersions,
             new PeerListener());
     this.crashes =
         new UpstreamCrashes(scheduler, loadTransport, formatAddress(settings.peers()), decisions);
@@ -307,6 +311,10 @@
         : 0;
   }
 
+  private Set<StreamOrigin> seenVersions() {
+    return origins.seenVersions();
+  }
+
   private long configurationVersion() {
     return fleet.table().map(ForwardingTable::version).orElse(0L);
   }
@@ -386,10 +394,21 @@
         decisions.record("upstream_leaving", Map.of("upstream", instance.id(), "source", "daemon"));
       }
     }
+
+    @Override
+    public void onUpstreamVersions(String sender, List<StreamOrigin> versions) {
+      origins.onPeerVersions(sender, versions);
+    }
   }
 
   private final class FleetListener implements FleetFollower.Listener {
 
+    @Override
+    public void onUpstreamListed(UpstreamEntry upstream) {
+      origins.onListed(upstream);
+      loadExchange.scheduleReport();
+    }
+
     @Override
     public void onConfiguration(ForwardingTable table) {
       budgets.updateAccounts(table.accounts());
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -30,6 +30,7 @@
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.RequestLimit;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
@@ -61,8 +62,10 @@
   private static final int FIELDS_PER_LIMIT = 4;
   private static final int FIELDS_PER_LEAVING = 3;
 
-  /** Number of arrays at the end of a report: the limits and the leaving upstreams. */
-  private static final int MAX_ARRAYS = 2;
+  private static final int FIELDS_PER_VERSION = 2;
+
+  /** Number of arrays at the end of a report: the limits, the leaving upstreams, the versions. */
+  private static final int MAX_ARRAYS = 3;
 
   private static final String HOLDERS = "holders";
   private static final int FIELDS_PER_HOLDER = 5;
@@ -172,9 +175,10 @@
 
   /**
    * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
-   * tokens, upstream, ...]}. Two arrays may follow: one of {@code [upstream, limit or null, age,
-   * sent requests]} if upstreams have named limits or are leaving, and one of {@code [upstream,
-   * address, start]} if upstreams are leaving.
+   * tokens, upstream, ...]}. Up to three arrays may follow, each with those before it: {@code
+   * [upstream, limit or null, age, sent requests]} of upstreams that have named limits, {@code
+   * [upstream, address, start]} of upstreams that are leaving, and {@code [service, version]} of
+   * versions that the sender has seen.
    */
   private static byte[] write(LoadReport report) {
     ArrayNode fields = JsonBodies.MAPPER.createArrayNode();
@@ -182,7 +186,9 @@
     for (LoadReport.Entry entry : report.entries()) {
       fields.add(entry.upstream()).add(entry.requests()).add(entry.pendingPrefillTokens());
     }
-    if (!report.limits().isEmpty() || !report.leaving().isEmpty()) {
+    boolean hasVersions = report.versions().isPresent();
+    boolean hasLeaving = hasVersions || !report.leaving().isEmpty();
+    if (hasLeaving || !report.limits().isEmpty()) {
       ArrayNode limits = fields.addArray();
       for (UpstreamLimits.Report r : report.limits()) {
         ArrayNode limit = limits.addArray().add(r.upstream());
@@ -190,12 +196,18 @@
         limit.add(r.ageMillis()).add(r.sent());
       }
     }
-    if (!report.leaving().isEmpty()) {
+    if (hasLeaving) {
       ArrayNode leaving = fields.addArray();
       for (LeavingUpstream l : report.leaving()) {
         leaving.addArray().add(l.id()).add(l.address()).add(l.startedAtMillis());
       }
     }
+    if (hasVersions) {
+      ArrayNode versions = fields.addArray();
+      for (StreamOrigin v : report.versions().get()) {
+        versions.addArray().add(v.service()).add(v.softwareVersion());
+      }
+    }
     return JsonBodies.write(fields);
   }
 
@@ -225,7 +237,22 @@
         JsonBodies.wholeNumber(fields.get(2), Long.MAX_VALUE),
         entries,
         readLimits(fields.path(size)),
-        readLeaving(fields.path(size + 1)));
+        readLeaving(fields.path(size + 1)),
+        readVersions(fields.path(size + 2)));
+  }
+
+  private static Optional<List<StreamOrigin>> readVersions(JsonNode versions) throws IOException {
+    if (versions.isMissingNode()) {
+      return Optional.empty();
+    }
+    List<StreamOrigin> result = new ArrayList<>();
+    for (JsonNode v : versions) {
+      if (v.size() < FIELDS_PER_VERSION) {
+        throw new IOException("a version in a load report is incomplete");
+      }
+      result.add(new StreamOrigin(JsonBodies.text(v.get(0)), JsonBodies.text(v.get(1))));
+    }
+    return Optional.of(result);
   }
 
   private static List<UpstreamLimits.Report> readLimits(JsonNode limits) throws IOException {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -191,6 +193,16 @@
       return 0;
     }
 
+    @Override
+    public long upstreamsFollowedMillis() {
+      return 0;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+      return CompletableFuture.completedFuture(true);
+    }
+
     @Override
     public int daemonCount() {
       return 1;
@@ -231,6 +243,7 @@
                       new LoadExchange.Identity("d.1", "127.0.0.1:0"),
                       () -> 1,
                       () -> 0,
+                      Set::of,
                       v -> {}),
                   new UpstreamCrashes(scheduler, reports, "127.0.0.1:0", (e, f) -> {}),
                   new StreamOrigins(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -9,8 +9,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -20,18 +22,26 @@
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class UdpLoadTransportTest {
 
   private static final LoadReport REPORT =
       new LoadReport(
-          "a.1", 7, 12, List.of(new LoadReport.Entry("u", 2, 900)), List.of(), List.of());
+          "a.1",
+          7,
+          12,
+          List.of(new LoadReport.Entry("u", 2, 900)),
+          List.of(),
+          List.of(),
+          Optional.empty());
 
   private final TestLoop loop = new TestLoop();
   private final InetSocketAddress first = freeAddress();
@@ -96,7 +106,8 @@
             List.of(
                 new UpstreamLimits.Report("u", OptionalDouble.of(1.8), 120, 57),
                 new UpstreamLimits.Report("v", OptionalDouble.empty(), 40, 3)),
-            List.of());
+            List.of(),
+            Optional.empty());
     loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
     assertThat(next()).isEqualTo(report);
   }
@@ -130,7 +141,23 @@
             hasLimits
                 ? List.of(new UpstreamLimits.Report("u", OptionalDouble.of(1.8), 120, 57))
                 : List.of(),
-            List.of(new LeavingUpstream("u", "10.0.0.1:80", 1_790_000_000_000L)));
+            List.of(new LeavingUpstream("u", "10.0.0.1:80", 1_790_000_000_000L)),
+            Optional.empty());
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
+    assertThat(next()).isEqualTo(report);
+  }
+
+  /** Guards against versions that others never hear of, and against none taken for unknown. */
+  @ParameterizedTest
+  @CsvSource({"''", "v1", "'v1,v2'"})
+  void carriesVersionsOfUpstreams(String software) throws InterruptedException {
+    start();
+    List<StreamOrigin> versions =
+        software.isEmpty()
+            ? List.of()
+            : Arrays.stream(software.split(",")).map(v -> new StreamOrigin("s", v)).toList();
+    LoadReport report =
+        new LoadReport("a.1", 8, 12, List.of(), List.of(), List.of(), Optional.of(versions));
     loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
     assertThat(next()).isEqualTo(report);
   }
