Conclude versions of streams only from complete rows and reports

- A store that was restored from an older copy lacks the rows and the listing of a version that joined since.
Rows count once the era has lasted as long as they cover; each host records since when it knows the era.
- Versions were written only with new streams, so that after 20 s without any no row said which were in use.
- Reports without a version of the service, and those that waited in the socket while the process stood still, counted as agreement; the count of daemons could be that of a moment in which others restarted.
- A version that another daemon reports counts even if the store lists it no more, and an upstream counts until the moment of its removal.
- The rows are read beside the changes of the upstreams, so that a record is found in time while the store is slow, and peers are asked as soon as the store does not answer.

The conclusions move to VersionEvidence.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -78,7 +78,7 @@
     void onConfiguration(ForwardingTable table);
 
     /**
-     * Called when an upstream was listed or its entry changed.
+     * Called when an upstream was listed or its entry changed, and before it is removed.
      *
      * @param upstream its entry
      */
@@ -387,6 +387,7 @@
         }
       }
       upstreamsKnown = true;
+      upstreams.all().forEach(listener::onUpstreamListed);
       entries.forEach(listener::onUpstreamListed);
       List<String> missing = upstreams.replaceAll(entries, scheduler.nowMillis());
       log.record("upstreams", Map.of("known", upstreams.size()));
@@ -405,6 +406,7 @@
           continue;
         }
         unusableUpstreams.onUsable(c.key());
+        upstreams.find(c.key()).ifPresent(listener::onUpstreamListed);
         if (value instanceof RowValue.Present<UpstreamEntry> p) {
           upstreams.onWritten(LeavingUpstream.of(p.value()));
           put(p.value());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -35,11 +35,16 @@
    * Returns whether reports received after a time, with the view of this daemon, are those of most
    * daemons. A daemon that hears fewer may be cut off with them from all that know of a version.
    *
+   * @param service name of the service; a report without a version of it tells nothing
    * @param millis monotonic time in milliseconds
    * @param daemons number of daemons, with this one
    */
-  boolean areMost(long millis, int daemons) {
-    return 2 * (since(millis).size() + 1) > daemons;
+  boolean areMost(String service, long millis, int daemons) {
+    long telling =
+        since(millis).stream()
+            .filter(r -> r.versions().stream().anyMatch(v -> v.service().equals(service)))
+            .count();
+    return 2 * (telling + 1) > daemons;
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -25,7 +25,6 @@
 import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
-import org.hibiscusreel.core.forward.VersionSightings;
 
 /**
  * Knows at which version of a service the streams of the last seconds have begun, also those of
@@ -43,6 +42,9 @@
   /** Time whose streams one row has, in milliseconds. */
   static final long ROW_MILLIS = 4_000;
 
+  /** Time that the rows cover, in milliseconds. */
+  static final long ROWS_MILLIS = KEEP_MILLIS + ROW_MILLIS;
+
   /** Number of rows of one host, so that none is used again before its records are too old. */
   static final long ROWS = KEEP_MILLIS / ROW_MILLIS + 1;
 
@@ -71,7 +73,8 @@
   static final long CATCH_UP_TIMEOUT_MILLIS = 600;
 
   /** Time in milliseconds in which each daemon under load sends a report of its versions. */
-  static final long PEER_REPORTS_MILLIS = LoadExchange.REPEAT_INTERVAL_MILLIS + 100;
+  static final long PEER_REPORTS_MILLIS =
+      VersionEvidence.REPORT_DELAY_MILLIS + LoadExchange.REPEAT_INTERVAL_MILLIS + 100;
 
   /** Largest number of streams in one row, so that the row stays within the limit of the store. */
   static final int MAX_STREAMS = 2_000;
@@ -80,6 +83,7 @@
   static final int MAX_ID_LENGTH = 64;
 
   private static final String PREFIX = "streams//";
+  private static final String ERA_SUFFIX = ".era";
   private static final int MAX_ROWS = 500;
   private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -120,7 +124,30 @@
       Optional<String> request,
       long askedAtMillis,
       long untilMillis,
-      CompletableFuture<Found> found) {}
+      CompletableFuture<Found> found) {
+
+    boolean isOpen() {
+      return !found.isDone();
+    }
+  }
+
+  /** A read of the rows and of the changes of the upstreams in progress. */
+  private static final class Reading {
+    private final List<Lookup> asked;
+    private final List<Row> rows = new ArrayList<>();
+    private Optional<Boolean> isCurrent = Optional.empty(); // empty until the changes are known
+    private boolean isScanning;
+    private boolean isScanned;
+    private boolean hasFailed;
+
+    Reading(List<Lookup> asked) {
+      this.asked = asked;
+    }
+
+    boolean hasOpenLookups() {
+      return asked.stream().anyMatch(Lookup::isOpen);
+    }
+  }
 
   private final TableService table;
   private final Scheduler scheduler;
@@ -133,9 +160,7 @@
   private final Map<String, Begun> known = new LinkedHashMap<>();
   private final TreeMap<Long, Map<String, StreamOrigin>> ownRows = new TreeMap<>();
   private final Set<Long> unwritten = new TreeSet<>();
-  private final VersionSightings seen = new VersionSightings();
-  private final VersionSightings recorded = new VersionSightings();
-  private final PeerVersions peerVersions = new PeerVersions();
+  private final VersionEvidence evidence;
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of();
   private Cancellable nextRead = () -> {};
@@ -145,7 +170,8 @@
   private boolean areOwnRowsKnown;
   private long readBeganAtMillis = Long.MIN_VALUE / 2;
   private long readMillis; // duration of the last read
-  private long era;
+  private long writtenRow = -1;
+  private boolean isEraWritten;
   private boolean stopped;
 
   /**
@@ -178,6 +204,7 @@
     this.writesPerSecond = writesPerSecond;
     this.daemons = Objects.requireNonNull(daemons, "daemons");
     this.log = Objects.requireNonNull(log, "log");
+    this.evidence = new VersionEvidence(scheduler, clock, fleet, daemons);
   }
 
   /** Reads the records of all daemons and starts to write those of this one. */
@@ -217,12 +244,12 @@
   }
 
   /**
-   * Records that an upstream was listed. It may have left again before the view is next looked at.
+   * Records that an upstream is listed, or was until now. The view is looked at only now and then.
    *
    * @param upstream its entry
    */
   public void onListed(UpstreamEntry upstream) {
-    seen.add(StreamOrigin.of(upstream), scheduler.nowMillis());
+    evidence.onListed(upstream);
   }
 
   /**
@@ -231,9 +258,7 @@
    * @return a copy
    */
   public Set<StreamOrigin> seenVersions() {
-    observe();
-    seen.expire(scheduler.nowMillis() - KEEP_MILLIS);
-    return seen.all();
+    return evidence.seenVersions();
   }
 
   /**
@@ -243,9 +268,7 @@
    * @param versions the versions
    */
   public void onPeerVersions(String sender, Collection<StreamOrigin> versions) {
-    long now = scheduler.nowMillis();
-    peerVersions.expire(now - KEEP_MILLIS);
-    peerVersions.onReport(sender, versions, now);
+    evidence.onReport(sender, versions);
   }
 
   private void keep(String request, StreamOrigin origin, long atMillis) {
@@ -299,7 +322,7 @@
             "service",
             service,
             "candidates",
-            candidates(service).stream().map(StreamOrigin::softwareVersion).toList(),
+            evidence.candidates(service).stream().map(StreamOrigin::softwareVersion).toList(),
             "source",
             source.name().toLowerCase(Locale.ROOT),
             "upstreams_age_ms",
@@ -323,88 +346,100 @@
     isReadScheduled = false;
     isReading = true;
     readBeganAtMillis = scheduler.nowMillis();
-    List<Lookup> asked = List.copyOf(lookups);
+    Reading reading = new Reading(List.copyOf(lookups));
     var unused =
         fleet
             .catchUpWithUpstreams(CATCH_UP_TIMEOUT_MILLIS)
-            .thenAccept(isCurrent -> onView(isCurrent, asked));
+            .thenAccept(isCurrent -> onCaughtUp(reading, isCurrent));
+    // Where the view will be enough, the rows need not be read; in a large fleet they are many.
+    boolean isViewEnough =
+        reading.asked.stream().allMatch(l -> evidence.byView(l.service()).isPresent());
+    if (!areOwnRowsKnown || !isViewEnough) {
+      scan(reading, "");
+    }
   }
 
-  /** Answers what the view of this daemon tells; the rest needs the rows of all daemons. */
-  private void onView(boolean isCurrent, List<Lookup> asked) {
-    if (isCurrent && hasLongView()) {
-      asked.forEach(l -> endIfCertain(l, Source.VIEW));
+  private void onCaughtUp(Reading reading, boolean isCurrent) {
+    reading.isCurrent = Optional.of(isCurrent);
+    for (Lookup l : reading.asked) {
+      if (!isCurrent) {
+        awaitPeers(l);
+      } else {
+        evidence.byView(l.service()).ifPresent(o -> end(l, new Found.Known(o), Source.VIEW));
+      }
     }
-    if (areOwnRowsKnown && asked.stream().allMatch(l -> l.found().isDone())) {
-      onReadEnded();
-    } else {
-      readFrom("", new ArrayList<>(), isCurrent, asked);
+    if (!reading.isScanning && reading.hasOpenLookups()) {
+      scan(reading, "");
     }
+    endReading(reading);
   }
 
-  private void endIfCertain(Lookup lookup, Source source) {
-    if (conclude(lookup.service()) instanceof Found.Known only) {
-      end(lookup, only, source);
+  private void scan(Reading reading, String after) {
+    reading.isScanning = true;
+    var unused = table.scan(PREFIX, after, MAX_ROWS).thenAccept(r -> onScanned(reading, r));
+  }
+
+  private void onScanned(Reading reading, ReadResult result) {
+    if (!(result instanceof ReadResult.Rows r)) {
+      reading.hasFailed = true;
+      reading.asked.forEach(this::awaitPeers);
+    } else {
+      reading.rows.addAll(r.rows());
+      if (r.more() && !r.rows().isEmpty()) {
+        scan(reading, r.rows().get(r.rows().size() - 1).key());
+        return;
+      }
+      apply(reading.rows);
+      reading.asked.forEach(this::endIfRecorded);
     }
+    reading.isScanned = true;
+    readMillis = scheduler.nowMillis() - readBeganAtMillis;
+    endReading(reading);
+  }
+
+  private void endIfRecorded(Lookup lookup) {
+    lookup
+        .request()
+        .map(known::get)
+        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), Source.RECORD));
   }
 
-  private void onReadEnded() {
+  /** Ends a read once both the rows and the upstreams of now are known, or can't be. */
+  private void endReading(Reading reading) {
+    if (reading.isCurrent.isEmpty() || reading.isScanning != reading.isScanned) {
+      return;
+    }
     isReading = false;
+    if (reading.isCurrent.get() && reading.isScanned && !reading.hasFailed) {
+      reading.asked.forEach(this::endFromRows);
+    }
     if (!areOwnRowsKnown || !lookups.isEmpty()) {
       scheduleRead();
     }
   }
 
-  private void readFrom(String after, List<Row> found, boolean isCurrent, List<Lookup> asked) {
-    var unused =
-        table
-            .scan(PREFIX, after, MAX_ROWS)
-            .thenAccept(
-                r -> {
-                  if (!(r instanceof ReadResult.Rows rows)) {
-                    onReadFailed(asked);
-                    return;
-                  }
-                  found.addAll(rows.rows());
-                  if (rows.more() && !rows.rows().isEmpty()) {
-                    String last = rows.rows().get(rows.rows().size() - 1).key();
-                    readFrom(last, found, isCurrent, asked);
-                  } else {
-                    onRead(found, isCurrent, asked);
-                  }
-                });
-  }
-
-  private void onReadFailed(List<Lookup> asked) {
-    asked.forEach(this::awaitPeers);
-    onReadEnded();
+  private void endFromRows(Lookup lookup) {
+    Optional<StreamOrigin> only = evidence.byRows(lookup.service());
+    if (only.isPresent()) {
+      end(lookup, new Found.Known(only.get()), Source.ROWS);
+    } else if (lookup.request().isEmpty() || scheduler.nowMillis() >= lookup.untilMillis()) {
+      end(lookup, new Found.Unknown(), Source.ROWS);
+    }
   }
 
-  /**
-   * Asks the other daemons for what the store can't be asked. Only reports that come after the
-   * question show what they knew when the stream broke off.
-   */
+  /** Asks the other daemons for what the store can't be asked. */
   private void awaitPeers(Lookup lookup) {
     long waitMillis = lookup.askedAtMillis() + PEER_REPORTS_MILLIS - scheduler.nowMillis();
     scheduler.schedule(Math.max(0, waitMillis), () -> endFromPeers(lookup));
   }
 
   private void endFromPeers(Lookup lookup) {
-    long askedAt = lookup.askedAtMillis();
-    if (hasLongView() && peerVersions.areMost(askedAt, daemons.getAsInt())) {
-      Set<StreamOrigin> candidates = candidates(lookup.service());
-      candidates.addAll(peerVersions.versions(lookup.service(), askedAt));
-      if (candidates.size() == 1) {
-        end(lookup, new Found.Known(candidates.iterator().next()), Source.PEERS);
-        return;
-      }
+    Optional<StreamOrigin> only = evidence.byPeers(lookup.service(), lookup.askedAtMillis());
+    if (only.isPresent()) {
+      end(lookup, new Found.Known(only.get()), Source.PEERS);
+    } else {
+      end(lookup, new Found.Unavailable(), Source.NONE);
     }
-    end(lookup, new Found.Unavailable(), Source.NONE);
-  }
-
-  /** Returns whether this daemon has seen all versions that a stream can have begun at. */
-  private boolean hasLongView() {
-    return fleet.upstreamsFollowedMillis() >= KEEP_MILLIS;
   }
 
   private long readIntervalMillis() {
@@ -412,8 +447,8 @@
     return Math.max(MIN_READ_INTERVAL_MILLIS, spreadMillis);
   }
 
-  private void onRead(List<Row> rows, boolean isCurrent, List<Lookup> asked) {
-    readMillis = scheduler.nowMillis() - readBeganAtMillis;
+  private void apply(List<Row> rows) {
+    evidence.onEra(table.era());
     for (Row r : rows) {
       try {
         apply(r);
@@ -423,34 +458,21 @@
       }
     }
     areOwnRowsKnown = true;
-    for (Lookup l : asked) {
-      Optional<Begun> begun = l.request().map(known::get);
-      if (begun.isPresent()) {
-        end(l, new Found.Known(begun.get().origin()), Source.RECORD);
-      } else if (!isCurrent) {
-        awaitPeers(l);
-      } else if (l.request().isEmpty() || scheduler.nowMillis() >= l.untilMillis()) {
-        end(l, conclude(l.service()), Source.ROWS);
-      } else {
-        endIfCertain(l, Source.ROWS);
-      }
-    }
-    onReadEnded();
   }
 
   private void apply(Row row) throws IOException {
+    if (row.key().endsWith(ERA_SUFFIX)) {
+      evidence.onRow(Json.readExact(row.value(), EraRow.class));
+      return;
+    }
     OriginRow content = Json.readExact(row.value(), OriginRow.class);
     long ageMillis = Math.max(0, clock.millis() - content.atMillis());
-    if (ageMillis > KEEP_MILLIS + ROW_MILLIS) {
+    if (ageMillis > ROWS_MILLIS) {
       return;
     }
     long atMillis = scheduler.nowMillis() - ageMillis;
     boolean isOwn = row.key().startsWith(PREFIX + host + ".");
-    for (OriginRow.Versions v : content.versions()) {
-      for (String software : v.software()) {
-        recorded.add(new StreamOrigin(v.service(), software), atMillis);
-      }
-    }
+    evidence.onRow(content, atMillis);
     for (OriginRow.Streams s : content.streams()) {
       StreamOrigin origin = new StreamOrigin(s.service(), s.software());
       for (String request : s.requests()) {
@@ -465,28 +487,6 @@
     }
   }
 
-  /** Concludes from the versions that were in use lately; only one leaves no doubt. */
-  private Found conclude(String service) {
-    Set<StreamOrigin> candidates = candidates(service);
-    return candidates.size() == 1
-        ? new Found.Known(candidates.iterator().next())
-        : new Found.Unknown();
-  }
-
-  private Set<StreamOrigin> candidates(String service) {
-    observe();
-    long oldest = scheduler.nowMillis() - KEEP_MILLIS;
-    Set<StreamOrigin> candidates = seen.since(service, oldest);
-    candidates.addAll(recorded.since(service, oldest - ROW_MILLIS));
-    return candidates;
-  }
-
-  /** Notes the versions that the upstreams have now. */
-  private void observe() {
-    long now = scheduler.nowMillis();
-    fleet.upstreams().all().forEach(e -> seen.add(StreamOrigin.of(e), now));
-  }
-
   private void expire() {
     long oldest = scheduler.nowMillis() - KEEP_MILLIS;
     var it = known.values().iterator();
@@ -501,17 +501,17 @@
     }
     scheduler.schedule(writeIntervalMillis(), this::writeAll);
     expire();
-    observe();
     long oldest = currentRow() - ROWS + 1;
     ownRows.headMap(oldest).clear();
     unwritten.removeIf(n -> n < oldest);
-    if (era != table.era()) {
-      era = table.era();
+    if (evidence.onEra(table.era())) {
       unwritten.addAll(ownRows.keySet());
+      writtenRow = -1;
+      isEraWritten = false;
     }
     Set<StreamOrigin> versions = seenVersions();
-    recorded.expire(scheduler.nowMillis() - KEEP_MILLIS - ROW_MILLIS);
-    if (!versions.equals(written)) {
+    // Without streams, too, the rows tell which versions were in use.
+    if (!versions.equals(written) || writtenRow != currentRow()) {
       unwritten.add(currentRow());
     }
     if (!isWriting && areOwnRowsKnown && clock.millis() > 0 && !unwritten.isEmpty()) {
@@ -527,6 +527,10 @@
     for (long n : numbers) {
       rows.add(Mutation.put(key(n), Json.write(toRow(n, versions))));
     }
+    final boolean hasEra = !isEraWritten;
+    if (hasEra) {
+      rows.add(Mutation.put(PREFIX + host + ERA_SUFFIX, Json.write(evidence.era())));
+    }
     var unused =
         table
             .transact(rows)
@@ -535,6 +539,8 @@
                   isWriting = false;
                   if (w instanceof WriteResult.Committed) {
                     written = versions;
+                    isEraWritten |= hasEra;
+                    writtenRow = numbers.get(numbers.size() - 1);
                   } else {
                     unwritten.addAll(numbers);
                   }
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -0,0 +1,169 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.util.Collection;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.coordination.port.StoreClock;
+import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.VersionSightings;
+
+/**
+ * Concludes at which version a stream without a record has begun. Each conclusion says that no
+ * other version was in use, so each names what must be known for it, and as of when.
+ */
+final class VersionEvidence {
+
+  /**
+   * Delay in milliseconds after a question from which on a report counts. Reports that were sent
+   * earlier may wait in the socket of a process that stood still.
+   */
+  static final long REPORT_DELAY_MILLIS = 100;
+
+  private final Scheduler scheduler;
+  private final StoreClock clock;
+  private final FleetView fleet;
+  private final IntSupplier daemons;
+  private final VersionSightings seen = new VersionSightings();
+  private final VersionSightings recorded = new VersionSightings();
+  private final PeerVersions peers = new PeerVersions();
+  private long era;
+  private long eraSinceMillis = Long.MAX_VALUE; // time of the store
+  private long countedSinceMillis;
+  private int mostDaemons;
+  private int mostDaemonsBefore;
+
+  VersionEvidence(Scheduler scheduler, StoreClock clock, FleetView fleet, IntSupplier daemons) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.clock = Objects.requireNonNull(clock, "clock");
+    this.fleet = Objects.requireNonNull(fleet, "fleet");
+    this.daemons = Objects.requireNonNull(daemons, "daemons");
+  }
+
+  /** Records that an upstream is listed, or was until now. */
+  void onListed(UpstreamEntry upstream) {
+    seen.add(StreamOrigin.of(upstream), scheduler.nowMillis());
+  }
+
+  /** Records the versions that another daemon has seen lately. */
+  void onReport(String sender, Collection<StreamOrigin> versions) {
+    long now = scheduler.nowMillis();
+    peers.expire(now - StreamOrigins.KEEP_MILLIS);
+    peers.onReport(sender, versions, now);
+  }
+
+  /**
+   * Records what a row says of the versions.
+   *
+   * @param row the row
+   * @param atMillis monotonic time at which it was written, in milliseconds
+   */
+  void onRow(OriginRow row, long atMillis) {
+    for (OriginRow.Versions v : row.versions()) {
+      v.software().forEach(s -> recorded.add(new StreamOrigin(v.service(), s), atMillis));
+    }
+  }
+
+  /** Records what a row says of the era of the store. */
+  void onRow(EraRow row) {
+    if (row.era() == era) {
+      eraSinceMillis = Math.min(eraSinceMillis, row.sinceMillis());
+    }
+  }
+
+  /**
+   * Records the era of the store.
+   *
+   * @return true if it is another one than before
+   */
+  boolean onEra(long now) {
+    boolean isNew = now != era;
+    if (isNew || eraSinceMillis == Long.MAX_VALUE) {
+      era = now;
+      eraSinceMillis = clock.millis();
+    }
+    return isNew;
+  }
+
+  /** Returns the era and since when it is known. */
+  EraRow era() {
+    return new EraRow(era, eraSinceMillis);
+  }
+
+  /** Returns the versions that this daemon has seen lately. */
+  Set<StreamOrigin> seenVersions() {
+    observe();
+    long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
+    seen.expire(oldest);
+    recorded.expire(oldest - StreamOrigins.ROW_MILLIS);
+    return seen.all();
+  }
+
+  /** Notes the versions that the upstreams have now and the number of daemons. */
+  private void observe() {
+    long now = scheduler.nowMillis();
+    fleet.upstreams().all().forEach(e -> seen.add(StreamOrigin.of(e), now));
+    if (now - countedSinceMillis >= StreamOrigins.KEEP_MILLIS) {
+      countedSinceMillis = now;
+      mostDaemonsBefore = mostDaemons;
+      mostDaemons = 0;
+    }
+    mostDaemons = Math.max(mostDaemons, daemons.getAsInt());
+  }
+
+  /** Returns the versions of a service at which a stream can have begun, as far as is known. */
+  Set<StreamOrigin> candidates(String service) {
+    observe();
+    long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
+    Set<StreamOrigin> candidates = seen.since(service, oldest);
+    candidates.addAll(recorded.since(service, oldest - StreamOrigins.ROW_MILLIS));
+    // Another daemon may go on using a version that the store no longer lists.
+    candidates.addAll(peers.versions(service, oldest));
+    return candidates;
+  }
+
+  /**
+   * Concludes from the view of this daemon. It must have received all changes of the upstreams for
+   * as long as streams are kept, the last of them after the question.
+   */
+  Optional<StreamOrigin> byView(String service) {
+    return hasLongView() ? only(service) : Optional.empty();
+  }
+
+  /**
+   * Concludes from the rows of all daemons and the upstreams of now, both read after the question.
+   * A store that was restored lately lacks rows.
+   */
+  Optional<StreamOrigin> byRows(String service) {
+    boolean hasRows =
+        !recorded.since(service, scheduler.nowMillis() - StreamOrigins.ROWS_MILLIS).isEmpty();
+    return hasRows && isEraOld() ? only(service) : Optional.empty();
+  }
+
+  /**
+   * Concludes from the view of this daemon and the reports of most others, sent after the question.
+   */
+  Optional<StreamOrigin> byPeers(String service, long askedAtMillis) {
+    observe();
+    int count = Math.max(mostDaemons, mostDaemonsBefore);
+    boolean areMost = peers.areMost(service, askedAtMillis + REPORT_DELAY_MILLIS, count);
+    return areMost ? byView(service) : Optional.empty();
+  }
+
+  private boolean hasLongView() {
+    return fleet.upstreamsFollowedMillis() >= StreamOrigins.KEEP_MILLIS;
+  }
+
+  private boolean isEraOld() {
+    return era == 0 || clock.millis() - eraSinceMillis >= StreamOrigins.ROWS_MILLIS;
+  }
+
+  private Optional<StreamOrigin> only(String service) {
+    return Optional.of(candidates(service))
+        .filter(c -> c.size() == 1)
+        .map(c -> c.iterator().next());
+  }
+}
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
@@ -21,10 +21,11 @@
   @CsvSource({"0, 1, true", "0, 2, false", "1, 2, true", "3, 8, false", "4, 8, true", "4, 9, true"})
   void needsReportsOfMostDaemons(int heard, int daemons, boolean expected) {
     for (int i = 0; i < heard; i++) {
-      peers.onReport("d" + i, List.of(), 100);
+      peers.onReport("d" + i, List.of(version("v1")), 100);
     }
-    assertThat(peers.areMost(99, daemons)).isEqualTo(expected);
-    assertThat(peers.areMost(100, daemons)).isEqualTo(daemons == 1);
+    peers.onReport("e", List.of(new StreamOrigin("t", "v1")), 100);
+    assertThat(peers.areMost("s", 99, daemons)).isEqualTo(expected);
+    assertThat(peers.areMost("s", 100, daemons)).isEqualTo(daemons == 1);
   }
 
   @Test
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -10,11 +10,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.hibiscusreel.coordination.forward.StreamOrigins.Found;
 import org.hibiscusreel.coordination.port.Mutation;
 import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.coordination.testing.FakeTable;
@@ -35,6 +37,31 @@
 
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final FakeTable table = new FakeTable(scheduler);
+  private long era;
+
+  /** Table of a store that names its era. */
+  private record EraTable(TableService table, LongSupplier eras) implements TableService {
+
+    @Override
+    public long era() {
+      return eras.getAsLong();
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
+      return table.transact(mutations);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(List<String> keys) {
+      return table.read(keys);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> scan(String prefix, String after, int limit) {
+      return table.scan(prefix, after, limit);
+    }
+  }
 
   /** Daemon on a host, with the upstreams that it knows. */
   private final class Daemon implements FleetView {
@@ -43,6 +70,7 @@
     private final String host;
     private final StreamOrigins origins;
     private boolean alive = true;
+    private int count = 2;
     private boolean isStoreReachable = true;
     private boolean isInStep = true;
     private List<String> listed;
@@ -57,7 +85,7 @@
       use(versions);
       origins =
           new StreamOrigins(
-              new KillableTable(store, () -> alive && isStoreReachable),
+              new EraTable(new KillableTable(store, () -> alive && isStoreReachable), () -> era),
               scheduler,
               new VirtualStoreClock(scheduler),
               this,
@@ -144,7 +172,7 @@
 
     @Override
     public int daemonCount() {
-      return 2;
+      return count;
     }
   }
 
@@ -241,27 +269,155 @@
     "30_000, v1, true",
     "30_000, 'v1,v2', false",
     "30_000, v2, false",
+    "30_000, '', false",
     "30_000, , false"
   })
   void answersWithoutTheStoreOnlyWhatMostDaemonsConfirm(
       String upMillis, String reported, boolean isKnown) {
     scheduler.run(START_MILLIS);
-    Daemon d = new Daemon("a", List.of("v1"));
+    final Daemon d = new Daemon("a", List.of("v1"));
     scheduler.run(Long.parseLong(upMillis.replace("_", "")));
     table.isDown = true;
     // An earlier report tells nothing of streams that began since.
     d.origins.onPeerVersions("b", List.of(origin("v1")));
     final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", TIMEOUT_MILLIS);
-    scheduler.run(100);
+    // Nor does one that may have been sent before the question.
+    d.origins.onPeerVersions("b", List.of(origin("v1")));
+    scheduler.run(VersionEvidence.REPORT_DELAY_MILLIS + 50);
     if (reported != null) {
       d.origins.onPeerVersions(
-          "b", Arrays.stream(reported.split(",")).map(StreamOriginsTest::origin).toList());
+          "b",
+          Arrays.stream(reported.split(","))
+              .filter(v -> !v.isEmpty())
+              .map(StreamOriginsTest::origin)
+              .toList());
     }
     scheduler.run(TIMEOUT_MILLIS);
     assertThat(found.join())
         .isEqualTo(isKnown ? new Found.Known(origin("v1")) : new Found.Unavailable());
   }
 
+  /** Guards against a count of daemons that is that of a moment in which others restarted. */
+  @Test
+  void needsReportsOfMostOfTheDaemonsOfLately() {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(30_000);
+    d.count = 1;
+    table.isDown = true;
+    assertThat(d.find("id")).isEqualTo(new Found.Unavailable());
+  }
+
+  /** Guards against callers that wait in vain for peers while the store does not respond at all. */
+  @Test
+  void asksPeersWhileTheStoreIsSilent() {
+    SlowTable silent = new SlowTable();
+    scheduler.run(START_MILLIS);
+    final Daemon d = new Daemon("a", List.of("v1"), silent);
+    scheduler.run(30_000);
+    silent.delayMillis = 60_000;
+    table.isDown = true;
+    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", 1_500);
+    scheduler.run(300);
+    d.origins.onPeerVersions("b", List.of(origin("v1")));
+    scheduler.run(1_200);
+    assertThat(found).isCompletedWithValue(new Found.Known(origin("v1")));
+  }
+
+  /** Guards against a record that comes too late since other calls to a slow store come first. */
+  @Test
+  void findsRecordWhileTheStoreIsSlow() {
+    SlowTable slow = new SlowTable();
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "v2"));
+    final Daemon second = new Daemon("b", List.of("v1", "v2"), slow);
+    scheduler.run(30_000);
+    first.origins.onBegun("id", origin("v2"));
+    scheduler.run(500);
+    slow.delayMillis = 600;
+    second.isStoreReachable = false;
+    CompletableFuture<Found> found = second.origins.find(Optional.of("id"), "s", 1_500);
+    second.isStoreReachable = true;
+    scheduler.run(700);
+    assertThat(found).isCompletedWithValue(new Found.Known(origin("v2")));
+  }
+
+  /**
+   * Guards against a version that another daemon still uses although the store lists it no more.
+   */
+  @Test
+  void countsVersionsThatOthersReport() {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v2"));
+    scheduler.run(30_000);
+    d.origins.onPeerVersions("b", List.of(origin("v1"), origin("v2")));
+    assertThat(d.find("id")).isEqualTo(new Found.Unknown());
+  }
+
+  /** Guards against rows that are taken for proof although no stream began for a while. */
+  @Test
+  void recordsVersionsWithoutStreams() {
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of("v1", "v2"));
+    scheduler.run(30_000);
+    first.kill();
+    scheduler.run(1_500);
+    Daemon second = new Daemon("b", List.of("v2"));
+    scheduler.run(300);
+    assertThat(second.find("id")).isEqualTo(new Found.Unknown());
+  }
+
+  /** Guards against records and versions that an older copy of the store lacks. */
+  @ParameterizedTest
+  @CsvSource({"true, true", "true, false", "false, true", "false, false"})
+  void concludesNothingFromTheRowsOfRestoredStore(boolean isFresh, boolean isOtherAlive) {
+    era = 1;
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon other = new Daemon("c", List.of("v1"));
+    Daemon asked = new Daemon("b", List.of("v1"));
+    scheduler.run(30_000);
+    final List<Row> copy = table.all("streams//");
+    asked.isStoreReachable = false;
+    asked.isInStep = false;
+    first.follow(List.of("v1", "v2"));
+    other.follow(List.of("v1", "v2"));
+    first.origins.onBegun("id", origin("v2"));
+    scheduler.run(3_000);
+    first.kill();
+    if (!isOtherAlive) {
+      other.kill();
+    }
+    scheduler.run(1_000);
+    table.all("streams//").forEach(r -> table.remove(r.key()));
+    copy.forEach(r -> table.putText(r.key(), r.value()));
+    era++;
+    other.follow(List.of("v1"));
+    if (isFresh) {
+      asked.kill();
+      asked = new Daemon("b", List.of("v1"));
+    } else {
+      asked.isStoreReachable = true;
+      asked.isInStep = true;
+      asked.knownSinceMillis = scheduler.nowMillis();
+    }
+    assertThat(asked.find("id")).isEqualTo(new Found.Unknown());
+  }
+
+  /** Guards against a fleet that refuses all unknown streams long after the store was restored. */
+  @Test
+  void concludesFromRowsOnceTheEraIsOld() {
+    era = 2;
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of("v1"));
+    scheduler.run(StreamOrigins.ROWS_MILLIS + 1_000);
+    first.kill();
+    scheduler.run(500);
+    Daemon second = new Daemon("b", List.of("v1"));
+    scheduler.run(300);
+    assertThat(second.find("id")).isEqualTo(new Found.Known(origin("v1")));
+  }
+
   /** Guards against a version that came and went between two looks at the catalog. */
   @Test
   void remembersVersionThatWasListedOnlyBriefly() {
