Don't go on with a stream whose first event may be of either instance

A daemon that heard that an upstream had started again at another version, and only then read the first event, which the earlier instance had sent, recorded the later version (ORDER). Such a stream now has no record and is not resumed. doesNotGoOnIfAnotherInstanceStartedBeforeTheFirstEventWasRead failed before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -265,7 +265,7 @@
   }
 
   /** Returns whether another instance has started under the identity of the upstream. */
-  private boolean isReplaced() {
+  boolean isReplaced() {
     return forwarder
         .fleet()
         .upstreams()
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.hibiscusreel.coordination.forward.CallerRequest.Resumption;
 import org.hibiscusreel.coordination.port.Cancellable;
@@ -87,6 +88,7 @@
   private boolean reserved;
   private Optional<StreamPosition> streamPosition = Optional.empty();
   private Optional<StreamOrigin> origin = Optional.empty();
+  private boolean isOriginUnknown;
   private long eventsDelivered;
   private long firstEventAtMillis;
 
@@ -168,15 +170,19 @@
 
   /** Refuses for good only if the upstreams of now are known. */
   private void awaitUpstream(StreamOrigin o) {
+    catchUp(areCurrent -> onUpstreams(o, areCurrent));
+  }
+
+  private void catchUp(Consumer<Boolean> step) {
+    long waitMillis = Math.min(StreamOrigins.CATCH_UP_TIMEOUT_MILLIS, remainingMillis());
     var unused =
         forwarder
             .fleet()
-            .catchUpWithUpstreams(
-                Math.min(StreamOrigins.CATCH_UP_TIMEOUT_MILLIS, remainingMillis()))
+            .catchUpWithUpstreams(waitMillis)
             .thenAccept(
-                isCurrent -> {
+                areCurrent -> {
                   if (!ended) {
-                    runStep(() -> onUpstreams(o, isCurrent));
+                    runStep(() -> step.accept(areCurrent));
                   }
                 });
   }
@@ -434,10 +440,12 @@
     if (route.retryPolicy() != RetryPolicy.RESUMABLE) {
       return;
     }
-    UpstreamEntry chosen = attempt.upstream();
-    // Another instance may have started under the identity after the choice.
-    UpstreamEntry now = forwarder.fleet().upstreams().find(chosen.id()).orElse(chosen);
-    StreamOrigin begun = origin.orElseGet(() -> StreamOrigin.of(now));
+    if (origin.isEmpty() && attempt.isReplaced()) {
+      // The event may be that of either instance.
+      isOriginUnknown = true;
+      return;
+    }
+    StreamOrigin begun = origin.orElseGet(() -> StreamOrigin.of(attempt.upstream()));
     origin = Optional.of(begun);
     String first = request.resumption().flatMap(Resumption::firstRequest).orElse(request.id());
     forwarder.origins().onBegun(first, begun);
@@ -511,7 +519,7 @@
   }
 
   private boolean mayRetry(AttemptOutcome outcome, Predicate<RetryBudget> hasBudget) {
-    if (streamPosition.filter(p -> !p.isResumable()).isPresent()) {
+    if (isOriginUnknown || streamPosition.filter(p -> !p.isResumable()).isPresent()) {
       return false;
     }
     AttemptPolicy.State state =
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -139,6 +139,22 @@
     assertThat(harness.last().upstream.id()).isEqualTo("u2");
   }
 
+  /** Guards against a first event that is taken for one of an instance that started later. */
+  @Test
+  void doesNotGoOnIfAnotherInstanceStartedBeforeTheFirstEventWasRead() {
+    list("u0", "v1", 1);
+    harness.serve(ForwardHarness.prompt("p"));
+    list("u0", "v2", 5);
+    list("u1", "v2", 1);
+    list("u2", "v1", 1);
+    harness.last().listener.onHead(200, EVENT_STREAM);
+    harness.last().listener.onBytes(event(1));
+    harness.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    harness.scheduler.run(500);
+    assertThat(harness.sent).hasSize(1);
+    assertThat(harness.callerEvents).endsWith("abort");
+  }
+
   /** Guards against an upstream that has started at another version under its old identity. */
   @Test
   void dropsContinuationOfAnotherInstance() {
