Ask for the upstreams of now before a stream breaks off

A stream whose upstream had ended broke off if the catalog, of unknown age, had no other upstream of its version. The store is asked once before that. looksForUpstreamsOfNowBeforeStreamBreaksOff failed before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -89,6 +89,7 @@
   private Optional<StreamPosition> streamPosition = Optional.empty();
   private Optional<StreamOrigin> origin = Optional.empty();
   private boolean isOriginUnknown;
+  private boolean hasCaughtUp;
   private long eventsDelivered;
   private long firstEventAtMillis;
 
@@ -340,6 +341,12 @@
                     forwarder.chooseUpstreamForSuspect(
                         service.name(), request.prompt(), this::isEligible, s.placementKey()))
             .orElseGet(this::chooseUpstream);
+    if (choice.isEmpty() && origin.isPresent() && !hasCaughtUp) {
+      hasCaughtUp = true;
+      releaseSuspect();
+      catchUp(isCurrent -> dispatch());
+      return;
+    }
     if (choice.isEmpty()) {
       releaseSuspect();
       endWithoutUpstream();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -49,6 +49,7 @@
   Refusal refusal;
   boolean callerAcceptsMore = true;
   boolean isStoreReachable = true;
+  Runnable onCatchUp = () -> {};
   Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
   Runnable onUpstreamsRead = () -> {};
   ForwardingTable current;
@@ -295,6 +296,9 @@
 
   @Override
   public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+    if (isStoreReachable) {
+      onCatchUp.run();
+    }
     return CompletableFuture.completedFuture(isStoreReachable);
   }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -155,6 +155,18 @@
     assertThat(harness.callerEvents).endsWith("abort");
   }
 
+  /** Guards against a stream that breaks off since an upstream joined only lately. */
+  @Test
+  void looksForUpstreamsOfNowBeforeStreamBreaksOff() {
+    list("u0", "v1");
+    beginStream();
+    list("u1", "v2");
+    harness.onCatchUp = () -> list("u2", "v1");
+    harness.last().listener.onFailure(AttemptOutcome.BROKEN, "reset");
+    harness.scheduler.run(500);
+    assertThat(harness.last().upstream.id()).isEqualTo("u2");
+  }
+
   /** Guards against an upstream that has started at another version under its old identity. */
   @Test
   void dropsContinuationOfAnotherInstance() {
