Register a host again whose row is missing

A host removes its row when it stops. If that call is performed late, after the next process has registered, the others don't count the host until its next start: their parts of budgets and limits are too large, and they send it no reports.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -281,7 +281,12 @@
   /** Returns the addresses of the other daemons; a row that can't be used names none. */
   private List<String> otherAddresses(List<Row> hosts) {
     List<String> addresses = new ArrayList<>();
-    unusableHosts.retain(hosts.stream().map(Row::key).toList());
+    List<String> keys = hosts.stream().map(Row::key).toList();
+    unusableHosts.retain(keys);
+    if (!keys.contains(HOST_KEY_PREFIX + host)) {
+      // The removal by the run before may take effect seconds late.
+      registerHost();
+    }
     for (Row r : hosts) {
       Change row = new Change(r.key(), Optional.of(r.value()));
       RowValue<HostRow> value = RowValue.parse(row.value(), FleetFollower::toHostRow);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -69,6 +69,16 @@
     }
   }
 
+  /** Guards against a daemon that the others don't count since the run before left late. */
+  @Test
+  void registersAgainAfterLateRemoval() {
+    follower.start();
+    scheduler.run(1_000);
+    table.remove("hosts//host");
+    scheduler.run(2 * FleetFollower.DAEMON_COUNT_INTERVAL_MILLIS);
+    assertThat(table.all("hosts//")).hasSize(1);
+  }
+
   private static ForwardingTable configuration(long version) {
     return new ForwardingTable(
         version, new CallerLimits(1, 1, 1), List.of(), List.of(), List.of(), Map.of());
