Bind the sender of a test to any free port, after the receiver

It took two ports that had been free a moment ago, one after the other, so that both could be the same, or another process could get one. Now only the receiver has such a port, and it binds first. What is asserted is unchanged.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -44,9 +44,10 @@
           Optional.empty());
 
   private final TestLoop loop = new TestLoop();
-  private final InetSocketAddress first = freeAddress();
   private final InetSocketAddress second = freeAddress();
-  private final UdpLoadTransport sender = new UdpLoadTransport(loop.eventloop(), first);
+  private final UdpLoadTransport sender =
+      new UdpLoadTransport(
+          loop.eventloop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   private final UdpLoadTransport receiver = new UdpLoadTransport(loop.eventloop(), second);
   private final BlockingQueue<LoadReport> received = new LinkedBlockingQueue<>();
 
@@ -62,8 +63,9 @@
     loop.run(
         () -> {
           try {
-            sender.start();
+            // The port was free a moment ago; the sender must not get it.
             receiver.start();
+            sender.start();
           } catch (IOException e) {
             throw new UncheckedIOException(e);
           }
