Test requests whose framing RFC 9112 refuses, over real sockets

77 forms of lengths, transfer codings, header fields, request lines, targets and chunk sizes, each followed by a request that must not run, at both servers. Ten proper forms stay served.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerServerTest.java
@@ -22,6 +22,7 @@
 import org.hibiscusreel.core.request.Problem;
 import org.hibiscusreel.core.request.ProblemCode;
 import org.hibiscusreel.core.request.Ran;
+import org.hibiscusreel.daemon.http.RequestForms;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class CallerServerTest {
 
@@ -41,6 +43,10 @@
   private static final String VALID =
       "{\"model\":\"writer\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
 
+  private static final String SERVICE = "/v1/services/records/sign";
+  private static final String FIELDS =
+      "Authorization: Bearer " + FakeRequestService.KEY + "\r\nContent-Type: text/plain\r\n";
+
   private final TestLoop loop = new TestLoop();
   private final FakeRequestService requests = new FakeRequestService();
   private final DaemonMetrics metrics = new DaemonMetrics();
@@ -344,4 +350,42 @@
       s.close();
     }
   }
+
+  private Socket send(String text) throws Exception {
+    Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+    s.setSoTimeout(5000);
+    s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    return s;
+  }
+
+  /** Guards against a request that runs though another one holds it, or that is changed. */
+  @ParameterizedTest
+  @MethodSource("org.hibiscusreel.daemon.http.RequestForms#improper")
+  void refusesRequestWhoseFramingIsImproper(RequestForms.Form form) throws Exception {
+    String next = "POST " + SERVICE + " HTTP/1.1\r\nHost: h\r\n" + FIELDS + "\r\n";
+    try (Socket s = send(form.toRequest(SERVICE, FIELDS) + next)) {
+      String text = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+      assertThat(text).startsWith("HTTP/1.1 " + form.status()).contains("\"ran\":\"no\"");
+      assertThat(text.split("HTTP/1.1", -1)).hasSize(2);
+      assertThat(requests.services).isEmpty();
+    }
+  }
+
+  /** Guards against a check that changes proper requests. */
+  @ParameterizedTest
+  @MethodSource("org.hibiscusreel.daemon.http.RequestForms#proper")
+  void servesProperRequestsUnchanged(RequestForms.Form form) throws Exception {
+    try (Socket s = send(form.toRequest(SERVICE, FIELDS))) {
+      StringBuilder text = new StringBuilder();
+      while (!text.toString().endsWith(RequestForms.BODY)) {
+        int c = s.getInputStream().read();
+        assertThat(c).as("after %s", text).isNotNegative();
+        text.append((char) c);
+      }
+      assertThat(requests.services.remove().body())
+          .asString(StandardCharsets.UTF_8)
+          .isEqualTo(RequestForms.BODY);
+    }
+  }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -47,6 +47,7 @@
 import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.core.forward.WeightedService;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.RequestForms;
 import org.hibiscusreel.daemon.http.TrafficListener;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.RawServer;
@@ -54,6 +55,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the server over real sockets with a scripted upstream. */
@@ -623,4 +625,66 @@
       assertThat(upstream.requestLines()).isEmpty();
     }
   }
+
+  /** Guards against a request that runs though another one holds it, or that is changed. */
+  @ParameterizedTest
+  @MethodSource("org.hibiscusreel.daemon.http.RequestForms#improper")
+  void refusesRequestWhoseFramingIsImproper(RequestForms.Form form) throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      send(s, form.toRequest("/plain/x", "") + request("/plain/hidden"));
+      String text = readAll(s);
+      assertThat(text).startsWith("HTTP/1.1 " + form.status());
+      assertThat(text.split("HTTP/1.1", -1)).hasSize(2);
+      assertThat(upstream.requestLines()).isEmpty();
+    }
+  }
+
+  /** Guards against an improper request that is missed because it comes in small pieces. */
+  @ParameterizedTest
+  @MethodSource("org.hibiscusreel.daemon.http.RequestForms#improper")
+  void refusesImproperRequestAfterProperOne(RequestForms.Form form) throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      send(s, request("/plain/x"));
+      assertThat(readUntil(s, "hello")).startsWith("HTTP/1.1 200");
+      String bad = form.toRequest("/plain/y", "");
+      send(s, bad.substring(0, bad.length() / 2));
+      Thread.sleep(5);
+      send(s, bad.substring(bad.length() / 2) + request("/plain/hidden"));
+      String text = readAll(s);
+      assertThat(text).startsWith("HTTP/1.1 " + form.status());
+      assertThat(upstream.requestLines()).hasSize(1);
+    }
+  }
+
+  /** Guards against a proper request that gets no response because of the one behind it. */
+  @Test
+  void answersProperRequestBeforeItRefusesImproperOne() throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      send(
+          s,
+          request("/plain/x")
+              + "GET /plain/y HTTP/1.1\r\nHost : h\r\n\r\n"
+              + request("/plain/hidden"));
+      String text = readAll(s);
+      assertThat(text).startsWith("HTTP/1.1 200").contains("helloHTTP/1.1 400");
+      assertThat(upstream.requestLines()).hasSize(1);
+    }
+  }
+
+  /** Guards against a check that refuses proper requests, or loses its place between them. */
+  @ParameterizedTest
+  @MethodSource("org.hibiscusreel.daemon.http.RequestForms#proper")
+  void servesProperRequestsOneAfterTheOther(RequestForms.Form form) throws Exception {
+    start(RawServer.respond("200 OK", "hello"));
+    try (Socket s = connect()) {
+      for (int i = 0; i < 3; i++) {
+        send(s, form.toRequest("/plain/x", ""));
+        assertThat(readUntil(s, "hello")).contains("HTTP/1.1 200 OK\r\n");
+      }
+      assertThat(upstream.requestLines()).hasSize(3).allMatch(l -> l.startsWith("POST /plain/x"));
+    }
+  }
 }
