Decide the framing of requests on the raw bytes, before the HTTP library

What callers could do: hide a request in the body of another one whose length is stated in a way that RFC 9112 has a server refuse; an upstream ran it. The outer request ran with a changed body, and names with a space were passed on.

Cause: ForwardServer.hasAmbiguousLength knew one form, and looked at the fields after the library had read them. Class of fault: the framing of a message judged after a lenient reader has decided on it.

Change: RequestFraming reads the bytes of each plain connection in one pass, skips bodies, and withholds the first improper request and all after it from the library. CallerConnections refuses it with 400 (501 for an unknown transfer coding) after the responses of the requests before it, and closes. Both servers use it; hasAmbiguousLength is needless and gone. ForwardDaemon passes its decision log, which gets refused_framing with status and reason.

Not covered: connections with TLS of CallerServer, whose bytes the inspector sees encrypted.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
@@ -62,7 +62,7 @@
       ConfigurationView configuration,
       DaemonMetrics metrics) {
     Objects.requireNonNull(requests, "requests");
-    this.connections = new CallerConnections(scheduler, reactor);
+    this.connections = new CallerConnections(scheduler, reactor, ProblemDocuments::refuse);
     this.isTls = tls.isPresent();
     CallerServlet servlet =
         new CallerServlet(
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/ProblemDocuments.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/ProblemDocuments.java
@@ -4,8 +4,11 @@
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.hibiscusreel.core.request.Problem;
+import org.hibiscusreel.core.request.ProblemCode;
+import org.hibiscusreel.daemon.http.RequestFraming;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /** Writes problems as problem documents (RFC 7807). */
@@ -50,6 +53,14 @@
     return response.build();
   }
 
+  /** Returns the bytes of a response that refuses a request whose framing is improper. */
+  static byte[] refuse(RequestFraming.Fault fault) {
+    Problem problem = Problem.notRun(ProblemCode.MALFORMED_REQUEST, fault.reason());
+    ObjectNode document = toJson(problem, "").put("status", fault.status());
+    String body = new String(JsonBodies.write(document), StandardCharsets.UTF_8);
+    return RequestFraming.toResponse(fault, "application/problem+json", body);
+  }
+
   private static long toSeconds(long millis) {
     return Math.max(1, TimeUnit.MILLISECONDS.toSeconds(millis + 999));
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -214,7 +214,8 @@
             forwarder,
             ports.callerDialect(),
             this::isReady,
-            traffic);
+            traffic,
+            decisions);
     this.status = new StatusServer(reactor, settings.status(), this::isReady, decisions::toText);
     this.metrics = new StatusServer(reactor, settings.metrics(), this::isReady, decisions::toText);
     decisions.register("requests.in_progress", forwarder::inProgress);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -12,13 +12,17 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import org.hibiscusreel.coordination.forward.CallerRequest;
+import org.hibiscusreel.coordination.forward.DecisionLog;
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.daemon.http.CallerConnections;
+import org.hibiscusreel.daemon.http.RequestFraming;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
 /** HTTP server for callers whose requests are forwarded. Used only on the event loop. */
@@ -48,6 +52,7 @@
   private final Forwarder forwarder;
   private final CallerDialect dialect;
   private final BooleanSupplier isReady;
+  private final DecisionLog decisions;
   private final CallerConnections connections;
   private final HttpServer server;
   private boolean stopping;
@@ -63,6 +68,7 @@
    * @param isReady tells whether callers may keep their connections; otherwise responses ask them
    *     to connect again, to another daemon
    * @param traffic receives the number of bytes exchanged with callers
+   * @param decisions records the requests that are refused because of their framing
    * @throws NullPointerException if an argument is null
    */
   public ForwardServer(
@@ -72,12 +78,16 @@
       Forwarder forwarder,
       CallerDialect dialect,
       BooleanSupplier isReady,
-      TrafficListener traffic) {
+      TrafficListener traffic,
+      DecisionLog decisions) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
     this.isReady = Objects.requireNonNull(isReady, "isReady");
-    this.connections = new CallerConnections(scheduler, reactor, traffic, this::pipelinedRefusal);
+    this.decisions = Objects.requireNonNull(decisions, "decisions");
+    this.connections =
+        new CallerConnections(
+            scheduler, reactor, traffic, this::pipelinedRefusal, this::refuseFraming);
     AsyncServlet servlet = this::serve;
     this.server =
         HttpServer.builder(reactor, servlet)
@@ -134,11 +144,6 @@
       answer.refuse(CLOSING);
       return answer.response();
     }
-    if (hasAmbiguousLength(request)) {
-      answer.refuse(new Refusal(Refusal.Kind.MALFORMED, 0, "two lengths of the body"));
-      connection.closeAfterDelay();
-      return answer.response();
-    }
     return request
         .loadBody(MAX_BODY_BYTES)
         .then(
@@ -173,13 +178,12 @@
     return text.toString().getBytes(StandardCharsets.US_ASCII);
   }
 
-  /**
-   * Tells whether a request has both a {@code Content-Length} and a {@code Transfer-Encoding},
-   * which allows request smuggling.
-   */
-  private static boolean hasAmbiguousLength(HttpRequest request) {
-    return request.hasHeader(HttpHeaders.CONTENT_LENGTH)
-        && request.hasHeader(HttpHeaders.TRANSFER_ENCODING);
+  private byte[] refuseFraming(RequestFraming.Fault fault) {
+    Map<String, Object> fields = new LinkedHashMap<>();
+    fields.put("status", fault.status());
+    fields.put("reason", fault.reason());
+    decisions.record("refused_framing", fields);
+    return RequestFraming.toResponse(fault);
   }
 
   private CallerRequest read(HttpRequest request, byte[] body) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -15,6 +15,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
@@ -44,8 +45,11 @@
   private final CurrentTimeProvider loopTime;
   private final TrafficListener traffic;
   private final Supplier<byte[]> pipelinedRefusal;
+  private final Function<RequestFraming.Fault, byte[]> framingRefusal;
   private final IdentityHashMap<HttpServerConnection, TrackedConnection> entries =
       new IdentityHashMap<>();
+  private final IdentityHashMap<TcpSocket, TrackedConnection> entriesBySocket =
+      new IdentityHashMap<>();
   private Cancellable timer;
   private TcpSocket lastOpenedSocket;
   private boolean isLastOpenedTls;
@@ -56,10 +60,14 @@
    * @param scheduler time and delayed tasks of the event loop
    * @param loopTime time of the event loop, from which ActiveJ takes the timestamps of its
    *     connections
+   * @param framingRefusal returns the bytes of the response to a request whose framing is improper
    * @throws NullPointerException if an argument is null
    */
-  public CallerConnections(Scheduler scheduler, CurrentTimeProvider loopTime) {
-    this(scheduler, loopTime, TrafficListener.NONE, () -> new byte[0]);
+  public CallerConnections(
+      Scheduler scheduler,
+      CurrentTimeProvider loopTime,
+      Function<RequestFraming.Fault, byte[]> framingRefusal) {
+    this(scheduler, loopTime, TrafficListener.NONE, () -> new byte[0], framingRefusal);
   }
 
   /**
@@ -71,17 +79,20 @@
    * @param traffic receives the number of bytes sent and received
    * @param pipelinedRefusal supplies the bytes of a response for a request that arrived before the
    *     previous response was sent and is not served; empty to close the connection without one
+   * @param framingRefusal returns the bytes of the response to a request whose framing is improper
    * @throws NullPointerException if an argument is null
    */
   public CallerConnections(
       Scheduler scheduler,
       CurrentTimeProvider loopTime,
       TrafficListener traffic,
-      Supplier<byte[]> pipelinedRefusal) {
+      Supplier<byte[]> pipelinedRefusal,
+      Function<RequestFraming.Fault, byte[]> framingRefusal) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
     this.traffic = Objects.requireNonNull(traffic, "traffic");
     this.pipelinedRefusal = Objects.requireNonNull(pipelinedRefusal, "pipelinedRefusal");
+    this.framingRefusal = Objects.requireNonNull(framingRefusal, "framingRefusal");
   }
 
   /** One tracked connection. */
@@ -89,6 +100,7 @@
 
     private final TcpSocket socket;
     private final boolean isTls;
+    private final RequestFraming framing = new RequestFraming();
     private final long openedAt = scheduler.nowMillis();
     private long respondingSince;
     private boolean isResponding;
@@ -96,6 +108,8 @@
     private boolean hasPipelined;
     private boolean hasReceivedRequest;
     private boolean isClosing;
+    private boolean isFaultRefused;
+    private long responses;
     private Runnable disconnectTask;
 
     private TrackedConnection(TcpSocket socket, boolean isTls) {
@@ -188,6 +202,37 @@
       closeAfterDelay();
     }
 
+    /** Withholds the bytes of an improper request, and all after it, from the HTTP library. */
+    private void checkFraming(ByteBuf buf) {
+      if (framing.fault().isPresent()) {
+        buf.tail(buf.head());
+        return;
+      }
+      buf.tail(framing.read(buf.array(), buf.head(), buf.tail()));
+      if (framing.fault().isPresent()) {
+        // The proper requests before it are read first.
+        scheduler.schedule(0, this::refuseFault);
+      }
+    }
+
+    /** Refuses the improper request once all requests before it have their responses. */
+    private void refuseFault() {
+      RequestFraming.Fault fault = framing.fault().orElse(null);
+      if (fault == null || isFaultRefused || responses < fault.requestsBefore()) {
+        return;
+      }
+      isFaultRefused = true;
+      byte[] refusal = framingRefusal.apply(fault);
+      if (socket.isClosed()) {
+        return;
+      }
+      boolean isAnswered = responses > fault.requestsBefore() || isResponding || isStreamed;
+      if (!isAnswered) {
+        socket.write(ByteBuf.wrapForReading(refusal)).whenResult(this::shutDownOutput);
+      }
+      closeAfterDelay();
+    }
+
     /** Sends the end of the stream, so that no further response can follow. */
     private void shutDownOutput() {
       try {
@@ -289,7 +334,9 @@
 
     @Override
     public void onAccept(HttpServerConnection connection) {
-      entries.put(connection, new TrackedConnection(lastOpenedSocket, isLastOpenedTls));
+      TrackedConnection e = new TrackedConnection(lastOpenedSocket, isLastOpenedTls);
+      entries.put(connection, e);
+      entriesBySocket.put(lastOpenedSocket, e);
     }
 
     @Override
@@ -313,8 +360,11 @@
       e.isResponding = false;
       e.isStreamed = false;
       e.disconnectTask = null;
+      e.responses++;
       if (e.hasPipelined) {
         e.refusePipelined();
+      } else {
+        e.refuseFault();
       }
     }
 
@@ -332,6 +382,7 @@
     public void onDisconnect(HttpServerConnection connection) {
       TrackedConnection e = entries.remove(connection);
       if (e != null) {
+        entriesBySocket.remove(e.socket);
         e.notifyDisconnected();
       }
     }
@@ -361,6 +412,10 @@
     @Override
     public void onRead(TcpSocket socket, ByteBuf buf) {
       traffic.onReceived(buf.readRemaining());
+      TrackedConnection e = isTls ? null : entriesBySocket.get(socket);
+      if (e != null) {
+        e.checkFraming(buf);
+      }
     }
 
     @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -268,7 +268,8 @@
                   forwarder,
                   dialect,
                   () -> isReady,
-                  callerTraffic);
+                  callerTraffic,
+                  (e, f) -> {});
           try {
             server.start();
           } catch (IOException e) {
