Send requests of a host without upstreams through other daemons

Cause: a host that can open no connection to any upstream had no other way to serve a request, and took its own failed path for failed upstreams.

Change: UpstreamReachability concludes from failed connections that the host is isolated; UpstreamPaths probes for the path and chooses relays; RelayServer passes requests of other daemons to upstreams byte by byte; UpstreamCall sends a request directly or through a relay. NO_PATH is the outcome of an attempt that this host could not send. UpstreamNotices has the part of Forwarder and ForwardAttempt that applies notices, since relays apply them, too. Without a relay the daemon is not ready and refuses at once.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -4,17 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.AttemptProgress;
-import org.hibiscusreel.core.forward.PauseRequest;
-import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.Route;
 import org.hibiscusreel.core.forward.UpstreamEntry;
-import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.core.forward.UpstreamLoad;
 import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.core.forward.UpstreamSelector;
@@ -103,6 +99,7 @@
   private boolean isPaused;
   private boolean isSilenceRecorded;
   private boolean ended;
+  private boolean wasIsolated;
   private long sentAtMillis;
   private long lastActivityAtMillis;
 
@@ -140,6 +137,7 @@
     load.onSent(prefillTokens);
     forwarder.loads().limits().onSent(upstream.id());
     forwarder.loads().scheduleReport();
+    wasIsolated = forwarder.transport().isIsolated();
     sentAtMillis = forwarder.scheduler().nowMillis();
     lastActivityAtMillis = sentAtMillis;
     try {
@@ -169,34 +167,7 @@
 
   @Override
   public void onNotice(UpstreamNotice notice) {
-    onRequestLimit(notice.limit());
-    if (notice.isLeaving()) {
-      forwarder.onLeaving(upstream);
-    }
-    if (notice.pause() instanceof PauseRequest.Pause p) {
-      forwarder.onPause(upstream, p.millis());
-    } else if (notice.pause() instanceof PauseRequest.Invalid i) {
-      Map<String, Object> line = Map.of("upstream", upstream.id(), "invalid", i.text());
-      forwarder.log().record("upstream_pause", line);
-    }
-  }
-
-  private void onRequestLimit(RequestLimit limit) {
-    UpstreamLimits limits = forwarder.loads().limits();
-    long now = forwarder.scheduler().nowMillis();
-    boolean changed = limits.onResponse(upstream.id(), limit, sentAtMillis, now);
-    if (limit instanceof RequestLimit.Invalid i) {
-      logLimit("invalid: " + i.text());
-    } else if (changed) {
-      OptionalDouble known = limits.perSecond(upstream.id());
-      logLimit(known.isPresent() ? String.valueOf(known.getAsDouble()) : "none");
-    }
-  }
-
-  private void logLimit(String value) {
-    forwarder
-        .log()
-        .record("upstream_limit", Map.of("upstream", upstream.id(), "per_second", value));
+    forwarder.notices().onNotice(upstream, notice, sentAtMillis);
   }
 
   @Override
@@ -337,7 +308,12 @@
 
   private void fail(AttemptOutcome outcome, String reason) {
     finish();
-    if (outcome != AttemptOutcome.NOT_EXECUTED && outcome != AttemptOutcome.SILENT) {
+    boolean isUpstreamAtFault =
+        switch (outcome) {
+          case NOT_EXECUTED, SILENT, NO_PATH -> false;
+          case NOT_SENT, FAILED, BROKEN -> !hasLostPath();
+        };
+    if (isUpstreamAtFault) {
       load.onFailure(forwarder.scheduler().nowMillis());
     }
     owner.onFailed(outcome, reason);
@@ -382,7 +358,9 @@
     boolean canMove = owner.canMove();
     if (!isSilenceRecorded) {
       isSilenceRecorded = true;
-      load.onSilence(now);
+      if (!hasLostPath()) {
+        load.onSilence(now);
+      }
       Map<String, Object> line =
           Map.of("upstream", upstream.id(), "silent_ms", silentMillis, "can_move", canMove);
       forwarder.log().record("upstream_silent", line);
@@ -396,8 +374,13 @@
     }
   }
 
+  /** Returns whether the host was cut off from all upstreams after this attempt had started. */
+  private boolean hasLostPath() {
+    return !wasIsolated && forwarder.transport().isIsolated();
+  }
+
   private long silenceLimitMillis(long nowMillis) {
-    if (load.hasFailed(nowMillis)) {
+    if (load.hasFailed(nowMillis) || hasLostPath()) {
       return SUSPECT_SILENCE_LIMIT_MILLIS;
     }
     long limit = ownSilenceLimitMillis();
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -73,6 +73,7 @@
   private final long callerDeadlineAtMillis;
   private final long timeoutAtMillis;
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<String> unreachedUpstreams = new HashSet<>();
   private final AttemptHistory attempts = new AttemptHistory();
   private Set<String> knownTraits;
   private Optional<UpstreamCrashes.Admission.Suspect> suspect = Optional.empty();
@@ -327,6 +328,12 @@
   }
 
   private void send() {
+    Optional<Refusal> noPath = forwarder.checkPath();
+    if (noPath.isPresent()) {
+      releaseSuspect();
+      endUnserved(noPath.get());
+      return;
+    }
     Optional<UpstreamSelector.Choice> choice =
         suspect
             .map(
@@ -470,9 +477,15 @@
             && attempt.progress() == AttemptProgress.STARTED
             && forwarder.crashes().hasCrashed(upstream);
     recordAttemptResult(outcome + " " + reason);
-    if (outcome == AttemptOutcome.NOT_SENT) {
+    if (!outcome.wasSent()) {
       sentAttempts--;
       unsentAttempts++;
+      unreachedUpstreams.add(upstream.id());
+    }
+    if (outcome == AttemptOutcome.NO_PATH) {
+      // They were not reached because of this host and may be reached through another one.
+      triedUpstreams.removeAll(unreachedUpstreams);
+      unreachedUpstreams.clear();
     }
     mayHaveRun |= outcome.mayHaveRun();
     if (mayBeCause && streamPosition.isEmpty()) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -14,7 +14,6 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.ForwardingTable;
-import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.PeerLoads;
 import org.hibiscusreel.core.forward.PrefillRate;
 import org.hibiscusreel.core.forward.PromptShape;
@@ -23,7 +22,6 @@
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
-import org.hibiscusreel.core.forward.UpstreamPauses;
 import org.hibiscusreel.core.forward.UpstreamSelector;
 import org.hibiscusreel.core.retry.RetryBudget;
 
@@ -39,6 +37,9 @@
   /** Retry advice in milliseconds while the configuration is outdated; other daemons know more. */
   static final long OUTDATED_RETRY_AFTER_MILLIS = 300;
 
+  /** Retry advice in milliseconds while no upstream is reached; other daemons serve the caller. */
+  static final long NO_PATH_RETRY_AFTER_MILLIS = 300;
+
   /** Shortest retry advice in milliseconds while all upstreams are at their limits. */
   static final long MIN_LIMITED_RETRY_AFTER_MILLIS = 100;
 
@@ -67,7 +68,7 @@
   private final Map<String, Long> nextRoomMillis = new HashMap<>();
   private final Map<String, PromptSizes> promptSizes = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
-  private final UpstreamPauses pauses = new UpstreamPauses();
+  private final UpstreamNotices notices;
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private boolean stopping;
@@ -110,6 +111,7 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
+    this.notices = new UpstreamNotices(scheduler, fleet, loads, log);
     crashes.onNewBlock(() -> List.copyOf(running).forEach(ForwardTask::endIfBlocked));
   }
 
@@ -144,6 +146,9 @@
     if (refusal.isEmpty()) {
       refusal = request.malformed().map(m -> new Refusal(Refusal.Kind.MALFORMED, 0, m));
     }
+    if (refusal.isEmpty()) {
+      refusal = checkPath();
+    }
     if (refusal.isPresent()) {
       refuse(request, exchange, refusal.get(), table);
       return NO_OP_HANDLE;
@@ -184,6 +189,17 @@
         : Optional.empty();
   }
 
+  /** Returns a refusal if this host reaches neither an upstream nor a daemon that relays. */
+  Optional<Refusal> checkPath() {
+    return transport.hasPath()
+        ? Optional.empty()
+        : Optional.of(
+            new Refusal(
+                Refusal.Kind.NOT_RUN,
+                NO_PATH_RETRY_AFTER_MILLIS,
+                "this host reaches no upstream and no daemon that relays"));
+  }
+
   private Optional<Refusal> checkLag() {
     long lagMillis = fleet.configurationLagMillis();
     return lagMillis <= settings.configurationBoundMillis()
@@ -339,9 +355,7 @@
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
-      if (isEligible.test(e)
-          && pauses.remainingMillis(e.id(), now) == 0
-          && loads.waitMillis(e.id()) == 0) {
+      if (isEligible.test(e) && notices.pauseMillis(e.id()) == 0 && loads.waitMillis(e.id()) == 0) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
@@ -419,26 +433,20 @@
   OptionalLong pausedRetryMillis(String service) {
     long now = scheduler.nowMillis();
     return fleet.upstreams().usable(service, now).stream()
-        .mapToLong(e -> pauses.remainingMillis(e.id(), now))
+        .mapToLong(e -> notices.pauseMillis(e.id()))
         .min()
         .stream()
         .filter(m -> m > 0)
         .findFirst();
   }
 
-  /** Stops offering requests to an upstream that asked for a pause. */
-  void onPause(UpstreamEntry upstream, long millis) {
-    pauses.add(upstream.id(), millis, scheduler.nowMillis());
-    log.record("upstream_pause", Map.of("upstream", upstream.id(), "pause_ms", millis));
-  }
-
-  /** Stops offering requests to an upstream that is leaving, and tells the other daemons. */
-  void onLeaving(UpstreamEntry upstream) {
-    LeavingUpstream instance = LeavingUpstream.of(upstream);
-    if (fleet.upstreams().onLeaving(instance)) {
-      log.record("upstream_leaving", Map.of("upstream", upstream.id(), "source", "response"));
-      loads.announceLeaving(instance);
-    }
+  /**
+   * Returns what the responses of upstreams say of them.
+   *
+   * @return the notices
+   */
+  public UpstreamNotices notices() {
+    return notices;
   }
 
   StreamOrigins origins() {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -284,6 +284,11 @@
     return ownLoad.computeIfAbsent(upstream, u -> new UpstreamLoad());
   }
 
+  /** Ends all suspensions of upstreams, because this host did not reach any of them. */
+  public void forgetFailures() {
+    ownLoad.values().forEach(UpstreamLoad::forgetFailures);
+  }
+
   /** Returns the load that the other daemons reported for all upstreams. */
   PeerLoads peerLoads() {
     peerLoads.expire(scheduler.nowMillis(), maxReportAgeMillis());
--- /dev/null
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamPaths.java
@@ -0,0 +1,210 @@
+package org.hibiscusreel.coordination.forward;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.hibiscusreel.coordination.port.Cancellable;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.forward.RelayPeers;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamReachability;
+
+/**
+ * Knows whether this host reaches the upstreams itself, and otherwise which daemon relays its
+ * requests. While the host is isolated, it finds out by connections without a request when the path
+ * is back. Used only on the event loop thread.
+ */
+public final class UpstreamPaths {
+
+  /** Interval in milliseconds at which an isolated host tries to connect to an upstream. */
+  static final long PROBE_INTERVAL_MILLIS = 500;
+
+  /** Opens connections to find out whether an upstream is reached. */
+  @FunctionalInterface
+  public interface Probe {
+
+    /**
+     * Opens a connection and closes it at once.
+     *
+     * @param address IP address and port
+     * @return whether the connection was opened
+     */
+    CompletableFuture<Boolean> connect(String address);
+  }
+
+  private final Scheduler scheduler;
+  private final Supplier<Collection<UpstreamEntry>> upstreams;
+  private final Probe probe;
+  private final Runnable onIsolated;
+  private final LongSupplier random;
+  private final DecisionLog log;
+  private final UpstreamReachability reachability = new UpstreamReachability();
+  private final RelayPeers peers;
+  private Cancellable nextProbe = () -> {};
+  private long probeNumber;
+  private long isolatedSinceMillis;
+  private long failedProbes;
+  private boolean stopped;
+
+  /**
+   * Creates an object that takes the upstreams for reachable.
+   *
+   * @param scheduler clock and delayed tasks
+   * @param upstreams supplies the known upstreams
+   * @param probe opens connections
+   * @param onIsolated called when the host is found to be isolated
+   * @param random source of random bits
+   * @param log receives a line when an isolation begins or ends
+   * @throws NullPointerException if an argument is null
+   */
+  public UpstreamPaths(
+      Scheduler scheduler,
+      Supplier<Collection<UpstreamEntry>> upstreams,
+      Probe probe,
+      Runnable onIsolated,
+      LongSupplier random,
+      DecisionLog log) {
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.upstreams = Objects.requireNonNull(upstreams, "upstreams");
+    this.probe = Objects.requireNonNull(probe, "probe");
+    this.onIsolated = Objects.requireNonNull(onIsolated, "onIsolated");
+    this.random = Objects.requireNonNull(random, "random");
+    this.log = Objects.requireNonNull(log, "log");
+    this.peers = new RelayPeers(random);
+  }
+
+  /** Stops probing. */
+  public void stop() {
+    stopped = true;
+    nextProbe.cancel();
+  }
+
+  /**
+   * Sets the other daemons.
+   *
+   * @param addresses addresses at which they relay
+   */
+  public void onPeers(List<String> addresses) {
+    peers.onPeers(addresses);
+  }
+
+  /** Records that this host opened a connection to an upstream. */
+  public void onConnected() {
+    if (reachability.onConnected()) {
+      nextProbe.cancel();
+      peers.reset();
+      log.record(
+          "isolation_ended",
+          Map.of(
+              "isolated_ms",
+              scheduler.nowMillis() - isolatedSinceMillis,
+              "failed_probes",
+              failedProbes));
+    }
+  }
+
+  /**
+   * Records that this host could not open a connection to an upstream.
+   *
+   * @param upstream identity of the upstream
+   */
+  public void onConnectFailed(String upstream) {
+    int known = upstreams.get().size();
+    if (!reachability.onConnectFailed(upstream, known, scheduler.nowMillis())) {
+      return;
+    }
+    isolatedSinceMillis = scheduler.nowMillis();
+    failedProbes = 0;
+    probeNumber = random.getAsLong();
+    log.record(
+        "isolated",
+        Map.of("failed_upstreams", reachability.failedCount(), "known_upstreams", known));
+    peers.reset();
+    onIsolated.run();
+    probe();
+  }
+
+  private void probe() {
+    if (stopped || !reachability.isIsolated()) {
+      return;
+    }
+    nextProbe = scheduler.schedule(PROBE_INTERVAL_MILLIS, this::probe);
+    List<UpstreamEntry> all = List.copyOf(upstreams.get());
+    if (all.isEmpty()) {
+      return;
+    }
+    UpstreamEntry next = all.get((int) Math.floorMod(probeNumber++, (long) all.size()));
+    var unused = probe.connect(next.address()).thenAccept(this::onProbed);
+  }
+
+  private void onProbed(boolean isConnected) {
+    if (isConnected) {
+      onConnected();
+    } else {
+      failedProbes++;
+    }
+  }
+
+  /**
+   * Tells whether this host is cut off from all upstreams.
+   *
+   * @return true from when connections to several upstreams failed until one is opened
+   */
+  public boolean isIsolated() {
+    return reachability.isIsolated();
+  }
+
+  /**
+   * Tells whether a request can be sent to an upstream or to a daemon that relays it.
+   *
+   * @return true if one of them may be tried
+   */
+  public boolean hasPath() {
+    return !isIsolated() || peers.hasUsable(scheduler.nowMillis());
+  }
+
+  /**
+   * Tells whether this host can't serve requests, because it is isolated and no daemon relays.
+   *
+   * @return true until a request was relayed or the isolation ends
+   */
+  public boolean isStranded() {
+    return isIsolated() && peers.isNoneWorking();
+  }
+
+  /**
+   * Chooses a daemon that relays a request.
+   *
+   * @param tried daemons that are not chosen again
+   * @return its address, or empty if this host is not isolated or no daemon is left
+   */
+  public Optional<String> relay(Set<String> tried) {
+    return isIsolated() ? peers.choose(tried, scheduler.nowMillis()) : Optional.empty();
+  }
+
+  /**
+   * Records that a daemon has relayed a request.
+   *
+   * @param relay its address
+   */
+  public void onRelayed(String relay) {
+    peers.onRelayed(relay);
+  }
+
+  /**
+   * Records that a daemon could not relay a request, whatever the upstream.
+   *
+   * @param relay its address
+   * @param reason what was seen
+   */
+  public void onRelayUnusable(String relay, String reason) {
+    peers.onUnusable(relay, scheduler.nowMillis());
+    log.record("relay_unusable", Map.of("relay", relay, "reason", reason));
+  }
+}
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -87,4 +87,22 @@
    * @throws RuntimeException if the request can't be sent to this upstream; nothing was sent
    */
   Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener);
+
+  /**
+   * Tells whether this host opens no connections to upstreams itself, because they fail.
+   *
+   * @return true while other daemons relay the requests
+   */
+  default boolean isIsolated() {
+    return false;
+  }
+
+  /**
+   * Tells whether a request can be sent at all.
+   *
+   * @return false while this host reaches neither an upstream nor a daemon that relays
+   */
+  default boolean hasPath() {
+    return true;
+  }
 }
--- a/core/src/main/java/org/hibiscusreel/core/config/SocketAddresses.java
+++ b/core/src/main/java/org/hibiscusreel/core/config/SocketAddresses.java
@@ -1,9 +1,10 @@
 package org.hibiscusreel.core.config;
 
+import java.net.InetSocketAddress;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Validates socket addresses that consist of an IP address and a port. */
+/** Validates and parses socket addresses that consist of an IP address and a port. */
 public final class SocketAddresses {
 
   private static final Pattern V4 = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]+)");
@@ -30,6 +31,22 @@
     return v6.matches() && isV6(v6.group(1)) && isPort(v6.group(2));
   }
 
+  /**
+   * Returns the address that a string names. No name is looked up.
+   *
+   * @param text IP address and port
+   * @return the address
+   * @throws IllegalArgumentException if {@link #isIpAndPort} is false
+   */
+  public static InetSocketAddress parse(String text) {
+    if (!isIpAndPort(text)) {
+      throw new IllegalArgumentException("no IP address with a port: " + text);
+    }
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
   private static boolean isV4(String address) {
     for (String part : address.split("\\.", -1)) {
       if (Integer.parseInt(part) > 255) {
--- a/core/src/main/java/org/hibiscusreel/core/forward/AttemptOutcome.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/AttemptOutcome.java
@@ -4,6 +4,8 @@
 public enum AttemptOutcome {
   /** No connection was opened, so nothing was sent. */
   NOT_SENT,
+  /** This host reached no upstream, so nothing was sent, and the upstream is not at fault. */
+  NO_PATH,
   /** The upstream reported that it did not run the request. */
   NOT_EXECUTED,
   /** The upstream ran the request and responded with an error. */
@@ -19,6 +21,15 @@
    * @return true unless it is certain that it did not
    */
   public boolean mayHaveRun() {
-    return this != NOT_SENT && this != NOT_EXECUTED;
+    return wasSent() && this != NOT_EXECUTED;
+  }
+
+  /**
+   * Tells whether the upstream may have received the request.
+   *
+   * @return true unless it is certain that nothing was sent
+   */
+  public boolean wasSent() {
+    return this != NOT_SENT && this != NO_PATH;
   }
 }
--- a/core/src/main/java/org/hibiscusreel/core/forward/AttemptPolicy.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/AttemptPolicy.java
@@ -41,7 +41,7 @@
     if (state.millisLeft() < MIN_REMAINING_MILLIS || state.sent() >= state.maxAttempts()) {
       return false;
     }
-    if (outcome == AttemptOutcome.NOT_SENT) {
+    if (!outcome.wasSent()) {
       // A retry that was taken for this attempt has reached no upstream and covers the next one.
       return state.unsent() < MAX_UNSENT_ATTEMPTS;
     }
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamLoad.java
@@ -42,6 +42,11 @@
 
   /** Records a successful response, which ends a suspension. */
   public void onSuccess() {
+    forgetFailures();
+  }
+
+  /** Ends a suspension whose cause was not the upstream. */
+  public void forgetFailures() {
     failures = 0;
     suspendedUntilMillis = Long.MIN_VALUE;
     failedUntilMillis = Long.MIN_VALUE;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -18,6 +18,7 @@
 import org.hibiscusreel.coordination.forward.PrepaidBudgets;
 import org.hibiscusreel.coordination.forward.StreamOrigins;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
+import org.hibiscusreel.coordination.forward.UpstreamPaths;
 import org.hibiscusreel.coordination.port.ChangeFeed;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.StoreClock;
@@ -28,6 +29,7 @@
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.ConnectionProbe;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
 /**
@@ -120,7 +122,9 @@
   private final LoadExchange loadExchange;
   private final UpstreamCrashes crashes;
   private final StreamOrigins origins;
+  private final UpstreamPaths paths;
   private final Forwarder forwarder;
+  private final RelayServer relay;
   private final ForwardServer server;
   private final StatusServer status;
   private final StatusServer metrics;
@@ -193,12 +197,22 @@
             settings.storeWritesPerSecond(),
             fleet::daemonCount,
             decisions);
+    this.paths =
+        new UpstreamPaths(
+            scheduler,
+            () -> fleet.upstreams().all(),
+            new ConnectionProbe(reactor, CONNECT_TIMEOUT)::connect,
+            loadExchange::forgetFailures,
+            ThreadLocalRandom.current()::nextLong,
+            decisions);
     this.forwarder =
         new Forwarder(
             scheduler,
             fleet,
             new HttpUpstreamTransport(
-                new AsyncHttpClient(reactor, CONNECT_TIMEOUT, traffic), ports.upstreamDialect()),
+                new AsyncHttpClient(reactor, CONNECT_TIMEOUT, traffic),
+                ports.upstreamDialect(),
+                paths),
             budgets,
             loadExchange,
             crashes,
@@ -206,6 +220,18 @@
             settings.forward(),
             decisions,
             ThreadLocalRandom.current()::nextLong);
+    this.relay =
+        new RelayServer(
+            reactor,
+            scheduler,
+            settings.peers(),
+            CONNECT_TIMEOUT,
+            new RelayAdmission(scheduler, fleet, forwarder.notices(), paths),
+            paths,
+            forwarder.notices(),
+            ports.upstreamDialect(),
+            traffic,
+            decisions);
     this.server =
         new ForwardServer(
             reactor,
@@ -228,6 +254,8 @@
     decisions.register("peers.reporting", loadExchange::reportingPeerCount);
     decisions.register("crashes.blocks", crashes::blockCount);
     decisions.register("upstreams.limited", loadExchange::limitCount);
+    decisions.register("upstreams.isolated", () -> paths.isIsolated() ? 1 : 0);
+    decisions.register("relay.connections", relay::connectionCount);
     decisions.register("log.dropped", log::dropped);
   }
 
@@ -251,6 +279,7 @@
     metrics.start();
     server.start();
     loadTransport.start();
+    relay.start();
     loadExchange.start();
     crashes.start();
     fleet.start();
@@ -270,6 +299,7 @@
             && fleet.isReady()
             && crashes.isInformed()
             && !isFallingBehind()
+            && !paths.isStranded()
             && !isLinkOverloaded;
     if (isReady != wasReady) {
       wasReady = isReady;
@@ -287,7 +317,9 @@
               "upstreams_age_ms",
               fleet.upstreamDataAgeMillis(),
               "link_overloaded",
-              isLinkOverloaded));
+              isLinkOverloaded,
+              "stranded",
+              paths.isStranded()));
     }
     return isReady;
   }
@@ -331,6 +363,7 @@
     stopping = new CompletableFuture<>();
     decisions.record("stop", Map.of("in_progress", forwarder.inProgress()));
     server.announceStop();
+    relay.announceStop();
     long exitAt = scheduler.nowMillis() + settings.graceMillis() - EXIT_RESERVE_MILLIS;
     scheduler.schedule(STOP_LISTENING_DELAY_MILLIS, () -> stopServing(exitAt));
     return stopping;
@@ -344,17 +377,22 @@
   }
 
   private void awaitRequests(long exitAt) {
-    if (forwarder.inProgress() > 0 && scheduler.nowMillis() < exitAt) {
+    boolean isIdle = forwarder.inProgress() == 0 && relay.connectionCount() == 0;
+    if (!isIdle && scheduler.nowMillis() < exitAt) {
       scheduler.schedule(DRAIN_POLL_INTERVAL_MILLIS, () -> awaitRequests(exitAt));
       return;
     }
-    decisions.record("stopped", Map.of("unfinished", forwarder.inProgress()));
+    decisions.record(
+        "stopped",
+        Map.of("unfinished", forwarder.inProgress(), "relayed", relay.connectionCount()));
     forwarder.endAll();
     scheduler.schedule(LAST_ANSWERS_MILLIS, this::stopServices);
   }
 
   private void stopServices() {
     fleet.stop();
+    paths.stop();
+    relay.stop();
     origins.stop();
     loadExchange.stop();
     crashes.stop();
@@ -424,6 +462,7 @@
       loadExchange.onPeers(addresses);
       crashes.onPeers(addresses);
       holderCopies.onPeers(addresses);
+      paths.onPeers(addresses);
     }
 
     @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -1,19 +1,15 @@
 package org.hibiscusreel.daemon.forward;
 
-import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
-import io.activej.http.HttpMethod;
 import io.activej.http.HttpResponse;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import org.hibiscusreel.coordination.forward.HeaderField;
+import org.hibiscusreel.coordination.forward.UpstreamPaths;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
-import org.hibiscusreel.daemon.http.HttpResult;
 
 /**
  * Sends requests to upstreams over HTTP, each on its own connection. Late bytes of an earlier
@@ -26,40 +22,47 @@
 
   private final AsyncHttpClient calls;
   private final UpstreamDialect dialect;
+  private final UpstreamPaths paths;
 
   /**
    * Creates a transport.
    *
    * @param calls HTTP client
    * @param dialect message format of the upstreams
+   * @param paths knows whether this host reaches the upstreams, and who relays otherwise
    * @throws NullPointerException if an argument is null
    */
-  public HttpUpstreamTransport(AsyncHttpClient calls, UpstreamDialect dialect) {
+  public HttpUpstreamTransport(
+      AsyncHttpClient calls, UpstreamDialect dialect, UpstreamPaths paths) {
     this.calls = Objects.requireNonNull(calls, "calls");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
+    this.paths = Objects.requireNonNull(paths, "paths");
   }
 
   @Override
   public Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
-    List<Map.Entry<HttpHeader, String>> headers = new ArrayList<>();
-    for (HeaderField field : dialect.headerFields(upstream, request)) {
-      headers.add(Map.entry(HeaderFields.toHttpHeader(field.name()), field.value()));
-    }
-    AsyncHttpClient.Exchange exchange =
-        calls.open(
-            HttpMethod.valueOf(request.caller().method()),
-            "http://" + upstream.address() + request.caller().target(),
-            headers,
-            request.caller().body().length == 0 ? null : request.caller().body());
-    exchange.limitFraming();
     ListenerSink sink = new ListenerSink(listener);
-    ResponseBodyReader bodyReader = new ResponseBodyReader(exchange, sink);
-    exchange
-        .response()
-        .async()
-        .whenResult(r -> onResponse(r, request, sink, bodyReader))
-        .whenException(e -> bodyReader.fail(toOutcome(exchange, e), String.valueOf(e)));
-    return bodyReader;
+    UpstreamCall call =
+        new UpstreamCall(
+            calls,
+            paths,
+            upstream,
+            request,
+            dialect.headerFields(upstream, request),
+            (response, body) -> onResponse(response, request, sink, body),
+            sink);
+    call.start();
+    return call;
+  }
+
+  @Override
+  public boolean isIsolated() {
+    return paths.isIsolated();
+  }
+
+  @Override
+  public boolean hasPath() {
+    return paths.hasPath();
   }
 
   /**
@@ -96,12 +99,6 @@
     }
   }
 
-  private static AttemptOutcome toOutcome(AsyncHttpClient.Exchange exchange, Exception e) {
-    return exchange.toFailure(String.valueOf(e)) instanceof HttpResult.NotSent
-        ? AttemptOutcome.NOT_SENT
-        : AttemptOutcome.BROKEN;
-  }
-
   private static boolean hasEndMark(HttpResponse response) {
     return response.getHeader(HttpHeaders.CONTENT_LENGTH) != null
         || response.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
@@ -0,0 +1,197 @@
+package org.hibiscusreel.daemon.forward;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.hibiscusreel.coordination.forward.DecisionLog;
+import org.hibiscusreel.coordination.forward.UpstreamNotices;
+import org.hibiscusreel.coordination.forward.UpstreamPaths;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.config.SocketAddresses;
+import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.daemon.http.TrafficListener;
+
+/**
+ * Passes requests of daemons that reach no upstream to upstreams, byte by byte. A relay opens the
+ * connections itself and never asks a further relay. Used only on the thread of the event loop.
+ */
+final class RelayServer {
+
+  /**
+   * Largest number of connections. Each holds at most two buffers while its receiver does not read.
+   */
+  static final int MAX_CONNECTIONS = 256;
+
+  /** Time to connect to an upstream. */
+  private final Duration connectTimeout;
+
+  /**
+   * Settings of the sockets to daemons. Without a linger time, a connection that is closed by this
+   * process, or by its death, is reset, so that a part of a response is never taken for all of it.
+   */
+  private static final SocketSettings RESET_ON_CLOSE =
+      SocketSettings.builder()
+          .withTcpNoDelay(true)
+          .withLingerTimeout(Duration.ZERO)
+          .withImplReadBufferSize(RelayedConnection.BUFFER_SIZE)
+          .build();
+
+  /**
+   * Settings of the sockets to upstreams. An upstream that takes no bytes of a request for so long
+   * is given up, since the end of the daemon's connection is not seen meanwhile.
+   */
+  private static final SocketSettings TO_UPSTREAMS =
+      SocketSettings.builder()
+          .withTcpNoDelay(true)
+          .withImplWriteTimeout(Duration.ofSeconds(15))
+          .withImplReadBufferSize(RelayedConnection.BUFFER_SIZE)
+          .build();
+
+  private final NioReactor reactor;
+  private final Scheduler scheduler;
+  private final RelayAdmission admission;
+  private final UpstreamPaths paths;
+  private final UpstreamNotices notices;
+  private final UpstreamDialect dialect;
+  private final TrafficListener traffic;
+  private final DecisionLog log;
+  private final SimpleServer server;
+  private final Set<RelayedConnection> connections = new HashSet<>();
+  private boolean stopping;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param reactor the event loop
+   * @param scheduler time and delayed tasks of the same event loop
+   * @param address address to bind
+   * @param connectTimeout time to connect to an upstream
+   * @param admission decides which requests are passed on
+   * @param paths learns which connections to upstreams were opened
+   * @param notices learns what the passing responses say of their upstreams
+   * @param dialect message format of the upstreams
+   * @param traffic receives the number of bytes exchanged
+   * @param log receives a line for each request that is not passed on
+   */
+  RelayServer(
+      NioReactor reactor,
+      Scheduler scheduler,
+      InetSocketAddress address,
+      Duration connectTimeout,
+      RelayAdmission admission,
+      UpstreamPaths paths,
+      UpstreamNotices notices,
+      UpstreamDialect dialect,
+      TrafficListener traffic,
+      DecisionLog log) {
+    this.reactor = Objects.requireNonNull(reactor, "reactor");
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+    this.connectTimeout = Objects.requireNonNull(connectTimeout, "connectTimeout");
+    this.admission = Objects.requireNonNull(admission, "admission");
+    this.paths = Objects.requireNonNull(paths, "paths");
+    this.notices = Objects.requireNonNull(notices, "notices");
+    this.dialect = Objects.requireNonNull(dialect, "dialect");
+    this.traffic = Objects.requireNonNull(traffic, "traffic");
+    this.log = Objects.requireNonNull(log, "log");
+    this.server =
+        SimpleServer.builder(reactor, s -> accept((TcpSocket) s))
+            .withListenAddress(address)
+            .withSocketSettings(RESET_ON_CLOSE)
+            .build();
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  void start() throws IOException {
+    server.listen();
+  }
+
+  /** Refuses all further requests; connections that are open go on. */
+  void announceStop() {
+    stopping = true;
+  }
+
+  /** Stops listening and resets all connections. */
+  void stop() {
+    stopping = true;
+    server.close();
+    List.copyOf(connections).forEach(RelayedConnection::reset);
+  }
+
+  /** Returns the number of open connections from other daemons. */
+  int connectionCount() {
+    return connections.size();
+  }
+
+  private void accept(TcpSocket socket) {
+    if (connections.size() >= 2 * MAX_CONNECTIONS) {
+      // Too many to read the heads of all of them and to refuse each one.
+      socket.close();
+      return;
+    }
+    RelayedConnection connection = new RelayedConnection(this, socket);
+    connections.add(connection);
+    connection.start();
+  }
+
+  RelayAdmission.Decision decide(RelayTicket ticket) {
+    RelayAdmission.Decision decision;
+    if (stopping) {
+      decision = new RelayAdmission.Decision.Refused(RelayRefusal.STOPPING);
+    } else if (connections.size() > MAX_CONNECTIONS) {
+      decision = new RelayAdmission.Decision.Refused(RelayRefusal.BUSY);
+    } else {
+      decision = admission.decide(ticket);
+    }
+    if (decision instanceof RelayAdmission.Decision.Refused r) {
+      log.record(
+          "relay_refused", Map.of("upstream", ticket.upstream(), "reason", r.reason().toText()));
+    }
+    return decision;
+  }
+
+  Promise<TcpSocket> connect(UpstreamEntry upstream) {
+    return TcpSocket.connect(
+            reactor, SocketAddresses.parse(upstream.address()), connectTimeout, TO_UPSTREAMS)
+        .whenResult(paths::onConnected)
+        .whenException(
+            e -> {
+              paths.onConnectFailed(upstream.id());
+              log.record(
+                  "relay_refused",
+                  Map.of("upstream", upstream.id(), "reason", RelayRefusal.UNREACHABLE.toText()));
+            });
+  }
+
+  /** Applies what the head of a passing response says of its upstream. */
+  void onResponseHead(UpstreamEntry upstream, MessageHead head, long sentAtMillis) {
+    dialect
+        .notice(head.status(), head.fields())
+        .ifPresent(n -> notices.onNotice(upstream, n, sentAtMillis));
+  }
+
+  void onClosed(RelayedConnection connection) {
+    connections.remove(connection);
+  }
+
+  Scheduler scheduler() {
+    return scheduler;
+  }
+
+  TrafficListener traffic() {
+    return traffic;
+  }
+}
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -302,14 +302,7 @@
     if (addresses.size() >= MAX_ADDRESSES) {
       addresses.clear();
     }
-    return Optional.of(
-        addresses.computeIfAbsent(
-            peer,
-            key -> {
-              int colon = key.lastIndexOf(':');
-              return new InetSocketAddress(
-                  key.substring(0, colon), Integer.parseInt(key.substring(colon + 1)));
-            }));
+    return Optional.of(addresses.computeIfAbsent(peer, SocketAddresses::parse));
   }
 
   @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -214,6 +214,15 @@
       return response;
     }
 
+    /**
+     * Sets an action for when the connection is open. It must be set before the event loop goes on.
+     *
+     * @param action called once at most
+     */
+    public void onConnected(Runnable action) {
+      state.onConnected(action);
+    }
+
     /** Closes the connection of this request. */
     public void abort() {
       state.abort();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -43,6 +43,11 @@
     private long receivedBytes;
     private long bodyBytes;
     private TcpSocket socket;
+    private Runnable onConnected = () -> {};
+
+    void onConnected(Runnable action) {
+      onConnected = action;
+    }
 
     /** Tells whether bytes of the request may have been sent. */
     boolean isConnected() {
@@ -126,6 +131,7 @@
       } else {
         state.connecting = false;
       }
+      state.onConnected.run();
     }
 
     @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -34,6 +34,7 @@
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.forward.StreamOrigins;
 import org.hibiscusreel.coordination.forward.UpstreamCrashes;
+import org.hibiscusreel.coordination.forward.UpstreamPaths;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.coordination.platform.ObservedStoreClock;
 import org.hibiscusreel.core.forward.AccountSettings;
@@ -235,7 +236,14 @@
                   new HttpUpstreamTransport(
                       new AsyncHttpClient(
                           loop.eventloop(), Duration.ofMillis(500), upstreamTraffic),
-                      dialect),
+                      dialect,
+                      new UpstreamPaths(
+                          scheduler,
+                          List::of,
+                          a -> CompletableFuture.completedFuture(false),
+                          () -> {},
+                          () -> 0,
+                          (e, f) -> {})),
                   budgets,
                   new LoadExchange(
                       scheduler,
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -10,11 +10,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.hibiscusreel.coordination.forward.CallerRequest;
 import org.hibiscusreel.coordination.forward.HeaderField;
+import org.hibiscusreel.coordination.forward.UpstreamPaths;
 import org.hibiscusreel.coordination.forward.UpstreamTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.AttemptOutcome;
@@ -23,6 +25,7 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.RawServer;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -39,7 +42,15 @@
       loop.get(
           () ->
               new HttpUpstreamTransport(
-                  new AsyncHttpClient(loop.eventloop(), Duration.ofMillis(300)), new Dialect()));
+                  new AsyncHttpClient(loop.eventloop(), Duration.ofMillis(300)),
+                  new Dialect(),
+                  new UpstreamPaths(
+                      new EventLoopScheduler(loop.eventloop()),
+                      List::of,
+                      a -> CompletableFuture.completedFuture(false),
+                      () -> {},
+                      () -> 0,
+                      (e, f) -> {})));
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
   private static final class Dialect implements UpstreamDialect {
