--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -125,6 +125,11 @@
     return upstream;
   }
 
+  /** Returns the daemon that relays the request, if there is one. */
+  Optional<String> relay() {
+    return exchange == null ? Optional.empty() : exchange.relay();
+  }
+
   /** Returns how far the upstream got with the request. */
   AttemptProgress progress() {
     if (isAnswered) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -540,7 +540,8 @@
 
   private void recordAttemptResult(String result) {
     long after = forwarder.scheduler().nowMillis() - arrivalMillis;
-    attempts.add(attempt.upstream().id(), after, result, attempt.progress());
+    String via = attempt.relay().map(r -> " via " + r).orElse("");
+    attempts.add(attempt.upstream().id(), after, result + via, attempt.progress());
     attempt = null;
     releaseSuspect();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamPaths.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamPaths.java
@@ -1,12 +1,15 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
@@ -17,7 +20,7 @@
 
 /**
  * Knows whether this host reaches the upstreams itself, and otherwise which daemon relays its
- * requests. While the host is isolated, it finds out by connections without a request when the path
+ * requests. Connections without a request find out whether the host is isolated, and when the path
  * is back. Used only on the event loop thread.
  */
 public final class UpstreamPaths {
@@ -25,6 +28,9 @@
   /** Interval in milliseconds at which an isolated host tries to connect to an upstream. */
   static final long PROBE_INTERVAL_MILLIS = 500;
 
+  /** Largest number of upstreams to which an isolated host tries to connect at a time. */
+  static final int MAX_PROBES = 8;
+
   /** Opens connections to find out whether an upstream is reached. */
   @FunctionalInterface
   public interface Probe {
@@ -47,7 +53,8 @@
   private final UpstreamReachability reachability = new UpstreamReachability();
   private final RelayPeers peers;
   private Cancellable nextProbe = () -> {};
-  private long probeNumber;
+  private long firstProbe;
+  private long lastRound;
   private long isolatedSinceMillis;
   private long failedProbes;
   private boolean stopped;
@@ -96,6 +103,7 @@
 
   /** Records that this host opened a connection to an upstream. */
   public void onConnected() {
+    lastRound++;
     if (reachability.onConnected()) {
       nextProbe.cancel();
       peers.reset();
@@ -115,40 +123,69 @@
    * @param upstream identity of the upstream
    */
   public void onConnectFailed(String upstream) {
-    int known = upstreams.get().size();
-    if (!reachability.onConnectFailed(upstream, known, scheduler.nowMillis())) {
-      return;
+    if (reachability.onConnectFailed(upstream, upstreams.get().size(), scheduler.nowMillis())) {
+      failedProbes = 0;
+      firstProbe = random.getAsLong();
+      probe();
     }
-    isolatedSinceMillis = scheduler.nowMillis();
-    failedProbes = 0;
-    probeNumber = random.getAsLong();
-    log.record(
-        "isolated",
-        Map.of("failed_upstreams", reachability.failedCount(), "known_upstreams", known));
-    peers.reset();
-    onIsolated.run();
-    probe();
   }
 
+  /** Tries to connect to some upstreams at a time, first to those that have not failed lately. */
   private void probe() {
-    if (stopped || !reachability.isIsolated()) {
-      return;
-    }
-    nextProbe = scheduler.schedule(PROBE_INTERVAL_MILLIS, this::probe);
+    nextProbe.cancel();
     List<UpstreamEntry> all = List.copyOf(upstreams.get());
-    if (all.isEmpty()) {
+    if (stopped) {
       return;
     }
-    UpstreamEntry next = all.get((int) Math.floorMod(probeNumber++, (long) all.size()));
-    var unused = probe.connect(next.address()).thenAccept(this::onProbed);
+    List<UpstreamEntry> order = new ArrayList<>();
+    for (int i = 0; i < all.size(); i++) {
+      order.add(all.get((int) Math.floorMod(firstProbe + i, (long) all.size())));
+    }
+    if (!reachability.isIsolated()) {
+      order.sort(Comparator.comparing(e -> reachability.hasFailed(e.id())));
+    }
+    firstProbe += MAX_PROBES;
+    List<UpstreamEntry> next = order.stream().limit(MAX_PROBES).toList();
+    long round = ++lastRound;
+    AtomicInteger missing = new AtomicInteger(next.size());
+    for (UpstreamEntry e : next) {
+      var unused =
+          probe
+              .connect(e.address())
+              .thenAccept(isConnected -> onProbed(isConnected, round, missing));
+    }
   }
 
-  private void onProbed(boolean isConnected) {
+  private void onProbed(boolean isConnected, long round, AtomicInteger missing) {
     if (isConnected) {
       onConnected();
-    } else {
-      failedProbes++;
+      return;
+    }
+    failedProbes++;
+    if (missing.decrementAndGet() > 0 || round != lastRound) {
+      return;
     }
+    if (reachability.confirm()) {
+      begin();
+    }
+    if (reachability.isIsolated()) {
+      nextProbe = scheduler.schedule(PROBE_INTERVAL_MILLIS, this::probe);
+    }
+  }
+
+  private void begin() {
+    isolatedSinceMillis = scheduler.nowMillis();
+    log.record(
+        "isolated",
+        Map.of(
+            "failed_upstreams",
+            reachability.failedCount(),
+            "known_upstreams",
+            upstreams.get().size(),
+            "failed_probes",
+            failedProbes));
+    peers.reset();
+    onIsolated.run();
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
 import java.util.List;
+import java.util.Optional;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
@@ -64,6 +65,15 @@
   /** A request in progress. */
   interface Exchange {
 
+    /**
+     * Returns the daemon through which the request was sent last.
+     *
+     * @return its address, or empty if this host sent the request itself
+     */
+    default Optional<String> relay() {
+      return Optional.empty();
+    }
+
     /** Stops reading the response until {@link #resumeReading}. */
     void pause();
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -49,6 +49,8 @@
   Refusal refusal;
   boolean callerAcceptsMore = true;
   boolean isStoreReachable = true;
+  boolean isIsolated;
+  boolean hasPath = true;
   Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
   Runnable onUpstreamsRead = () -> {};
   ForwardingTable current;
@@ -262,6 +264,16 @@
     return sentRequest;
   }
 
+  @Override
+  public boolean isIsolated() {
+    return isIsolated;
+  }
+
+  @Override
+  public boolean hasPath() {
+    return hasPath;
+  }
+
   @Override
   public Optional<ForwardingTable> table() {
     return Optional.ofNullable(current);
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamReachability.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamReachability.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * Concludes from the connections that this host opens whether it is cut off from all upstreams. It
- * counts as isolated once connections to two different upstreams have failed within a short time
- * and none was opened meanwhile. Connections that were open before prove nothing, since they may
- * live on while new ones fail. Not thread-safe.
+ * Concludes from the connections that this host opens whether it is cut off from all upstreams.
+ * This is suspected once connections to two different upstreams have failed within a short time and
+ * none was opened meanwhile, and holds once further connections have failed, too. Connections that
+ * were open before prove nothing, since they may live on while new ones fail. Not thread-safe.
  */
 public final class UpstreamReachability {
 
@@ -17,6 +17,7 @@
   private static final int MIN_FAILED_UPSTREAMS = 2;
 
   private final Map<String, Long> failedAtMillis = new HashMap<>();
+  private boolean suspected;
   private boolean isolated;
 
   /**
@@ -25,7 +26,8 @@
    * @return true if the host was isolated until now
    */
   public boolean onConnected() {
-    boolean wasIsolated = isolated;
+    final boolean wasIsolated = isolated;
+    suspected = false;
     isolated = false;
     failedAtMillis.clear();
     return wasIsolated;
@@ -37,14 +39,29 @@
    * @param upstream identity of the upstream
    * @param known number of known upstreams
    * @param nowMillis monotonic time in milliseconds
-   * @return true if the host counts as isolated from now on
+   * @return true if further upstreams must be tried now
    */
   public boolean onConnectFailed(String upstream, int known, long nowMillis) {
     failedAtMillis.values().removeIf(at -> nowMillis - at > RECENT_MILLIS);
     failedAtMillis.put(upstream, nowMillis);
-    if (isolated || failedAtMillis.size() < Math.min(MIN_FAILED_UPSTREAMS, Math.max(1, known))) {
+    int required = known == 1 ? 1 : MIN_FAILED_UPSTREAMS;
+    if (isolated || suspected || failedAtMillis.size() < required) {
+      return false;
+    }
+    suspected = true;
+    return true;
+  }
+
+  /**
+   * Records that the further connections have failed, too.
+   *
+   * @return true if the host counts as isolated from now on
+   */
+  public boolean confirm() {
+    if (!suspected) {
       return false;
     }
+    suspected = false;
     isolated = true;
     return true;
   }
@@ -58,6 +75,16 @@
     return isolated;
   }
 
+  /**
+   * Tells whether a connection to an upstream failed lately and none was opened since.
+   *
+   * @param upstream identity of the upstream
+   * @return true if it failed
+   */
+  public boolean hasFailed(String upstream) {
+    return failedAtMillis.containsKey(upstream);
+  }
+
   /**
    * Returns the number of upstreams to which a connection failed lately and none was opened since.
    *
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamLoadTest.java
@@ -40,6 +40,15 @@
     assertThat(load.hasFailed(0)).isFalse();
   }
 
+  @Test
+  void endsSuspensionWhoseCauseWasNotTheUpstream() {
+    load.onFailure(0);
+    load.forgetFailures();
+    assertThat(load.isSuspended(0)).isFalse();
+    load.onFailure(0);
+    assertThat(load.isSuspended(UpstreamLoad.FIRST_SUSPENSION_MILLIS)).isFalse();
+  }
+
   /** Guards against taking an upstream that is silent for a second for one that has ended. */
   @Test
   void suspendsSilentUpstreamWithoutTakingItForFailed() {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -226,9 +226,14 @@
             scheduler,
             settings.peers(),
             CONNECT_TIMEOUT,
-            new RelayAdmission(scheduler, fleet, forwarder.notices(), paths),
+            new RelayAdmission(
+                    scheduler::nowMillis,
+                    fleet.upstreams(),
+                    forwarder.notices()::pauseMillis,
+                    paths::isIsolated)
+                ::decide,
             paths,
-            forwarder.notices(),
+            forwarder.notices()::onNotice,
             ports.upstreamDialect(),
             traffic,
             decisions);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayAdmission.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayAdmission.java
@@ -1,10 +1,10 @@
 package org.hibiscusreel.daemon.forward;
 
 import java.util.Optional;
-import org.hibiscusreel.coordination.forward.FleetView;
-import org.hibiscusreel.coordination.forward.UpstreamNotices;
-import org.hibiscusreel.coordination.forward.UpstreamPaths;
-import org.hibiscusreel.coordination.port.Scheduler;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
+import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
 /** Decides whether a request of another daemon is passed to an upstream. */
@@ -20,33 +20,44 @@
     record Refused(RelayRefusal reason) implements Decision {}
   }
 
-  private final Scheduler scheduler;
-  private final FleetView fleet;
-  private final UpstreamNotices notices;
-  private final UpstreamPaths paths;
+  private final LongSupplier nowMillis;
+  private final UpstreamCatalog upstreams;
+  private final ToLongFunction<String> pauseMillis;
+  private final BooleanSupplier isIsolated;
 
+  /**
+   * Creates an object that decides.
+   *
+   * @param nowMillis supplies the monotonic time in milliseconds
+   * @param upstreams known upstreams
+   * @param pauseMillis time in milliseconds for which an upstream wants no requests of this daemon
+   * @param isIsolated tells whether this host reaches no upstream itself
+   */
   RelayAdmission(
-      Scheduler scheduler, FleetView fleet, UpstreamNotices notices, UpstreamPaths paths) {
-    this.scheduler = scheduler;
-    this.fleet = fleet;
-    this.notices = notices;
-    this.paths = paths;
+      LongSupplier nowMillis,
+      UpstreamCatalog upstreams,
+      ToLongFunction<String> pauseMillis,
+      BooleanSupplier isIsolated) {
+    this.nowMillis = nowMillis;
+    this.upstreams = upstreams;
+    this.pauseMillis = pauseMillis;
+    this.isIsolated = isIsolated;
   }
 
   Decision decide(RelayTicket ticket) {
-    if (paths.isIsolated()) {
+    if (isIsolated.getAsBoolean()) {
       return new Decision.Refused(RelayRefusal.ISOLATED);
     }
+    long now = nowMillis.getAsLong();
     Optional<UpstreamEntry> upstream =
-        fleet
-            .upstreams()
+        upstreams
             .find(ticket.upstream())
             .filter(e -> e.startedAtMillis() == ticket.startedAtMillis())
-            .filter(e -> fleet.upstreams().usable(e.service(), scheduler.nowMillis()).contains(e));
+            .filter(e -> upstreams.usable(e.service(), now).contains(e));
     if (upstream.isEmpty()) {
       return new Decision.Refused(RelayRefusal.UNKNOWN);
     }
-    return notices.pauseMillis(ticket.upstream()) > 0
+    return pauseMillis.applyAsLong(ticket.upstream()) > 0
         ? new Decision.Refused(RelayRefusal.PAUSED)
         : new Decision.Admitted(upstream.get());
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
@@ -13,12 +13,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Function;
 import org.hibiscusreel.coordination.forward.DecisionLog;
-import org.hibiscusreel.coordination.forward.UpstreamNotices;
 import org.hibiscusreel.coordination.forward.UpstreamPaths;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
 /**
@@ -32,9 +33,6 @@
    */
   static final int MAX_CONNECTIONS = 256;
 
-  /** Time to connect to an upstream. */
-  private final Duration connectTimeout;
-
   /**
    * Settings of the sockets to daemons. Without a linger time, a connection that is closed by this
    * process, or by its death, is reset, so that a part of a response is never taken for all of it.
@@ -57,11 +55,26 @@
           .withImplReadBufferSize(RelayedConnection.BUFFER_SIZE)
           .build();
 
+  /** Receives what responses say of their upstreams. */
+  @FunctionalInterface
+  interface NoticeListener {
+
+    /**
+     * Called with the notice of a response.
+     *
+     * @param upstream the upstream that sent it
+     * @param notice the notice
+     * @param sentAtMillis monotonic time in milliseconds at which its request was sent
+     */
+    void onNotice(UpstreamEntry upstream, UpstreamNotice notice, long sentAtMillis);
+  }
+
   private final NioReactor reactor;
   private final Scheduler scheduler;
-  private final RelayAdmission admission;
+  private final Duration connectTimeout;
+  private final Function<RelayTicket, RelayAdmission.Decision> admission;
   private final UpstreamPaths paths;
-  private final UpstreamNotices notices;
+  private final NoticeListener notices;
   private final UpstreamDialect dialect;
   private final TrafficListener traffic;
   private final DecisionLog log;
@@ -88,9 +101,9 @@
       Scheduler scheduler,
       InetSocketAddress address,
       Duration connectTimeout,
-      RelayAdmission admission,
+      Function<RelayTicket, RelayAdmission.Decision> admission,
       UpstreamPaths paths,
-      UpstreamNotices notices,
+      NoticeListener notices,
       UpstreamDialect dialect,
       TrafficListener traffic,
       DecisionLog log) {
@@ -154,7 +167,7 @@
     } else if (connections.size() > MAX_CONNECTIONS) {
       decision = new RelayAdmission.Decision.Refused(RelayRefusal.BUSY);
     } else {
-      decision = admission.decide(ticket);
+      decision = admission.apply(ticket);
     }
     if (decision instanceof RelayAdmission.Decision.Refused r) {
       log.record(
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamCall.java
@@ -48,6 +48,7 @@
   private final Listener listener;
   private final ResponseBodyReader.Sink sink;
   private final Set<String> triedRelays = new HashSet<>();
+  private String lastRelay;
   private ResponseBodyReader body;
 
   UpstreamCall(
@@ -95,6 +96,7 @@
 
   private void sendThrough(String relay) {
     triedRelays.add(relay);
+    lastRelay = relay;
     RelayTicket ticket = RelayTicket.of(upstream, ThreadLocalRandom.current().nextLong());
     AsyncHttpClient.Exchange exchange =
         open(relay, List.of(new HeaderField(RelayTicket.REQUEST_FIELD, ticket.toText())));
@@ -125,17 +127,17 @@
         refusal.get() == RelayRefusal.UNREACHABLE
             ? AttemptOutcome.NOT_SENT
             : AttemptOutcome.NO_PATH,
-        "relay " + relay + ": " + reason);
+        reason);
   }
 
   private void onRelayFailure(
       String relay, AsyncHttpClient.Exchange exchange, ResponseBodyReader reader, String reason) {
     if (isSent(exchange)) {
-      reader.fail(AttemptOutcome.BROKEN, "relay " + relay + ": " + reason);
+      reader.fail(AttemptOutcome.BROKEN, reason);
       return;
     }
     paths.onRelayUnusable(relay, reason);
-    sendFurther(reader, AttemptOutcome.NO_PATH, "relay " + relay + ": " + reason);
+    sendFurther(reader, AttemptOutcome.NO_PATH, reason);
   }
 
   /** Asks another daemon, since nothing was sent so far, or ends the attempt. */
@@ -181,6 +183,11 @@
     return !(exchange.toFailure("") instanceof HttpResult.NotSent);
   }
 
+  @Override
+  public Optional<String> relay() {
+    return Optional.ofNullable(lastRelay);
+  }
+
   @Override
   public void pause() {
     body.pause();
