Keep probing while no upstream is known, and test a host without a relay

Cause: a probe that found no known upstream was the last one, so that an isolation might never have ended. An address that a socket can't take made a probe or a relay throw.

Change: the next probe is scheduled in any case; such an address counts as not reached. A relayed connection lets the head of its request go.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamPaths.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamPaths.java
@@ -137,6 +137,10 @@
     if (stopped) {
       return;
     }
+    if (all.isEmpty()) {
+      scheduleProbe();
+      return;
+    }
     List<UpstreamEntry> order = new ArrayList<>();
     for (int i = 0; i < all.size(); i++) {
       order.add(all.get((int) Math.floorMod(firstProbe + i, (long) all.size())));
@@ -168,7 +172,11 @@
     if (reachability.confirm()) {
       begin();
     }
-    if (reachability.isIsolated()) {
+    scheduleProbe();
+  }
+
+  private void scheduleProbe() {
+    if (!stopped) {
       nextProbe = scheduler.schedule(PROBE_INTERVAL_MILLIS, this::probe);
     }
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamPathsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamPathsTest.java
@@ -16,12 +16,13 @@
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final List<String> probed = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
+  private List<UpstreamEntry> known = List.of(entry("a"), entry("b"), entry("c"));
   private boolean isReachable;
   private int begun;
   private final UpstreamPaths paths =
       new UpstreamPaths(
           scheduler,
-          () -> List.of(entry("a"), entry("b"), entry("c")),
+          () -> known,
           this::probe,
           () -> begun++,
           () -> 0,
@@ -70,6 +71,19 @@
     assertThat(log).containsExactly("isolated 3", "isolation_ended 2");
   }
 
+  /** Guards against an isolation that never ends, because the store listed no upstream. */
+  @Test
+  void goesOnProbingAfterNoUpstreamWasKnown() {
+    final List<UpstreamEntry> all = known;
+    isolate();
+    known = List.of();
+    scheduler.run(2 * UpstreamPaths.PROBE_INTERVAL_MILLIS);
+    known = all;
+    isReachable = true;
+    scheduler.run(UpstreamPaths.PROBE_INTERVAL_MILLIS);
+    assertThat(paths.isIsolated()).isFalse();
+  }
+
   @Test
   void hasNoPathWhileIsolatedWithoutRelay() {
     assertThat(paths.hasPath()).isTrue();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
@@ -170,25 +170,35 @@
       decision = admission.apply(ticket);
     }
     if (decision instanceof RelayAdmission.Decision.Refused r) {
-      log.record(
-          "relay_refused", Map.of("upstream", ticket.upstream(), "reason", r.reason().toText()));
+      logRefusal(ticket.upstream(), r.reason());
     }
     return decision;
   }
 
   Promise<TcpSocket> connect(UpstreamEntry upstream) {
-    return TcpSocket.connect(
-            reactor, SocketAddresses.parse(upstream.address()), connectTimeout, TO_UPSTREAMS)
+    return openConnection(upstream)
         .whenResult(paths::onConnected)
         .whenException(
             e -> {
               paths.onConnectFailed(upstream.id());
-              log.record(
-                  "relay_refused",
-                  Map.of("upstream", upstream.id(), "reason", RelayRefusal.UNREACHABLE.toText()));
+              logRefusal(upstream.id(), RelayRefusal.UNREACHABLE);
             });
   }
 
+  /** A valid address may be of a kind that the socket can't connect to. */
+  private Promise<TcpSocket> openConnection(UpstreamEntry upstream) {
+    try {
+      return TcpSocket.connect(
+          reactor, SocketAddresses.parse(upstream.address()), connectTimeout, TO_UPSTREAMS);
+    } catch (RuntimeException e) {
+      return Promise.ofException(e);
+    }
+  }
+
+  private void logRefusal(String upstream, RelayRefusal reason) {
+    log.record("relay_refused", Map.of("upstream", upstream, "reason", reason.toText()));
+  }
+
   /** Applies what the head of a passing response says of its upstream. */
   void onResponseHead(UpstreamEntry upstream, MessageHead head, long sentAtMillis) {
     dialect
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
@@ -31,7 +31,7 @@
 
   private final RelayServer server;
   private final TcpSocket origin;
-  private final MessageHead requestHead = new MessageHead(MAX_HEAD_BYTES);
+  private MessageHead requestHead = new MessageHead(MAX_HEAD_BYTES);
   private MessageHead responseHead = new MessageHead(MAX_HEAD_BYTES);
   private UpstreamEntry entry;
   private TcpSocket upstream;
@@ -112,6 +112,7 @@
     sentAtMillis = server.scheduler().nowMillis();
     byte[] head = requestHead.rewrite(RelayTicket.REQUEST_FIELD, entry.address());
     byte[] rest = requestHead.rest();
+    requestHead = null;
     ByteBuf first = ByteBuf.wrapForWriting(new byte[head.length + rest.length]);
     first.put(head);
     first.put(rest);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionProbe.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionProbe.java
@@ -34,10 +34,15 @@
    */
   public CompletableFuture<Boolean> connect(String address) {
     CompletableFuture<Boolean> result = new CompletableFuture<>();
-    TcpSocket.connect(
-            reactor, SocketAddresses.parse(address), timeout, SocketSettings.defaultInstance())
-        .whenResult(TcpSocket::close)
-        .whenComplete((s, e) -> result.complete(e == null));
+    try {
+      TcpSocket.connect(
+              reactor, SocketAddresses.parse(address), timeout, SocketSettings.defaultInstance())
+          .whenResult(TcpSocket::close)
+          .whenComplete((s, e) -> result.complete(e == null));
+    } catch (RuntimeException e) {
+      // A valid address may be of a kind that the socket can't connect to.
+      result.complete(false);
+    }
     return result;
   }
 }
