Take only requests that this host sent itself for cut off by its path

Cause: a request whose direct connection failed and that went on through a relay counted as sent directly, so that it was moved after 0.8 s of silence and its upstream was never blamed.

Change: the attempt asks its exchange whether a daemon relays it.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -99,7 +99,6 @@
   private boolean isPaused;
   private boolean isSilenceRecorded;
   private boolean ended;
-  private boolean wasIsolated;
   private long sentAtMillis;
   private long lastActivityAtMillis;
 
@@ -142,7 +141,6 @@
     load.onSent(prefillTokens);
     forwarder.loads().limits().onSent(upstream.id());
     forwarder.loads().scheduleReport();
-    wasIsolated = forwarder.transport().isIsolated();
     sentAtMillis = forwarder.scheduler().nowMillis();
     lastActivityAtMillis = sentAtMillis;
     try {
@@ -379,9 +377,9 @@
     }
   }
 
-  /** Returns whether the host was cut off from all upstreams after this attempt had started. */
+  /** Returns whether this host sent the request itself, and is cut off from all upstreams now. */
   private boolean hasLostPath() {
-    return !wasIsolated && forwarder.transport().isIsolated();
+    return forwarder.transport().isIsolated() && relay().isEmpty();
   }
 
   private long silenceLimitMillis(long nowMillis) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -65,6 +65,7 @@
     boolean cancelled;
     boolean paused;
     boolean isBesideAnother;
+    boolean isRelayed;
 
     Sent(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
       this.upstream = upstream;
@@ -94,6 +95,11 @@
       listener.onFailure(outcome, "scripted");
     }
 
+    @Override
+    public Optional<String> relay() {
+      return isRelayed ? Optional.of("relay") : Optional.empty();
+    }
+
     @Override
     public void pause() {
       paused = true;
@@ -260,6 +266,7 @@
     }
     Sent sentRequest = new Sent(upstream, request, listener);
     sentRequest.isBesideAnother = sent.stream().anyMatch(s -> !s.cancelled);
+    sentRequest.isRelayed = isIsolated;
     sent.add(sentRequest);
     return sentRequest;
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/IsolatedHostTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/IsolatedHostTest.java
@@ -56,4 +56,14 @@
     harness.scheduler.run(800);
     assertThat(harness.last().cancelled).isFalse();
   }
+
+  /** A request that was first sent directly may reach its upstream through a relay. */
+  @Test
+  void leavesSilentStreamThatIsRelayed() {
+    harness.serve(ForwardHarness.prompt("p"));
+    harness.last().isRelayed = true;
+    harness.isIsolated = true;
+    harness.scheduler.run(1_100);
+    assertThat(harness.last().cancelled).isFalse();
+  }
 }
