--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -50,6 +50,8 @@
   boolean callerAcceptsMore = true;
   boolean isStoreReachable = true;
   Runnable onCatchUp = () -> {};
+  boolean isIsolated;
+  boolean hasPath = true;
   Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
   Runnable onUpstreamsRead = () -> {};
   ForwardingTable current;
@@ -64,6 +66,7 @@
     boolean cancelled;
     boolean paused;
     boolean isBesideAnother;
+    boolean isRelayed;
 
     Sent(UpstreamEntry upstream, UpstreamRequest request, Listener listener) {
       this.upstream = upstream;
@@ -93,6 +96,11 @@
       listener.onFailure(outcome, "scripted");
     }
 
+    @Override
+    public Optional<String> relay() {
+      return isRelayed ? Optional.of("relay") : Optional.empty();
+    }
+
     @Override
     public void pause() {
       paused = true;
@@ -259,10 +267,21 @@
     }
     Sent sentRequest = new Sent(upstream, request, listener);
     sentRequest.isBesideAnother = sent.stream().anyMatch(s -> !s.cancelled);
+    sentRequest.isRelayed = isIsolated;
     sent.add(sentRequest);
     return sentRequest;
   }
 
+  @Override
+  public boolean isIsolated() {
+    return isIsolated;
+  }
+
+  @Override
+  public boolean hasPath() {
+    return hasPath;
+  }
+
   @Override
   public Optional<ForwardingTable> table() {
     return Optional.ofNullable(current);
