--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -10,6 +10,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
@@ -51,6 +53,8 @@
   boolean isStoreReachable = true;
   Predicate<UpstreamEntry> cannotBeSentTo = u -> false;
   Runnable onUpstreamsRead = () -> {};
+  Consumer<Sent> onSent = s -> {};
+  LongSupplier random = () -> 0;
   ForwardingTable current;
   long configurationAgeMillis;
   long configurationLagMillis;
@@ -125,6 +129,28 @@
   /** Creates one of several daemons on the same clock, without upstreams. */
   ForwardHarness(
       VirtualScheduler scheduler, CrashTransport crashTransport, String address, RouteTerms terms) {
+    this(
+        scheduler,
+        crashTransport,
+        address,
+        terms,
+        new LoadExchange(
+            scheduler,
+            new NoOpLoadTransport(),
+            new LoadExchange.Identity("d.1", address),
+            () -> 1,
+            () -> 0,
+            Set::of,
+            v -> {}));
+  }
+
+  /** Creates one of several daemons that exchange their loads, without upstreams. */
+  ForwardHarness(
+      VirtualScheduler scheduler,
+      CrashTransport crashTransport,
+      String address,
+      RouteTerms terms,
+      LoadExchange loads) {
     this.scheduler = scheduler;
     this.table = new FakeTable(scheduler);
     this.budgets =
@@ -154,19 +180,12 @@
             this,
             this,
             budgets,
-            new LoadExchange(
-                scheduler,
-                new NoOpLoadTransport(),
-                new LoadExchange.Identity("d.1", address),
-                () -> 1,
-                () -> 0,
-                Set::of,
-                v -> {}),
+            loads,
             crashes,
             origins,
             new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
-            () -> 0);
+            () -> random.getAsLong());
     Route route =
         new Route(
             "r",
@@ -195,11 +214,16 @@
   }
 
   Forwarder.Handle serve(CallerRequest request) {
-    Forwarder.Handle handle = forwarder.serve(request, new RecordingCaller());
+    Forwarder.Handle handle = begin(request);
     scheduler.run(20);
     return handle;
   }
 
+  /** Passes a request on without running what it has scheduled. */
+  Forwarder.Handle begin(CallerRequest request) {
+    return forwarder.serve(request, new RecordingCaller());
+  }
+
   static CallerRequest plain(String path, String key) {
     return new CallerRequest(
         "id1",
@@ -259,6 +283,7 @@
     Sent sentRequest = new Sent(upstream, request, listener);
     sentRequest.isBesideAnother = sent.stream().anyMatch(s -> !s.cancelled);
     sent.add(sentRequest);
+    onSent.accept(sentRequest);
     return sentRequest;
   }
 
