Share the room of upstreams that fall over when they reject

Cause: daemons sent to brittle upstreams as to any other, so that under load each was sent more than it had room for and fell over within seconds.

Change: BrittleUpstreams keeps what upstreams say (for each instance; one that has not answered is taken for what others of its service say), BrittleRoom decides whether one more request fits: a fixed part for each daemon, more while half of the room is free and all daemons are heard, a pause and less expected room after a rejection. Load reports carry tolerance, room and rejections in a fourth array. BrittleRooms ties this to the choice of an upstream and to the refusal with a time to come back. Nothing is computed where no upstream is brittle.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -137,6 +137,7 @@
   }
 
   void start(UpstreamTransport.UpstreamRequest outgoing) {
+    forwarder.brittleRooms().onSent(upstream, outgoing.caller().prompt());
     load.onSent(prefillTokens);
     forwarder.loads().limits().onSent(upstream.id());
     forwarder.loads().scheduleReport();
@@ -170,6 +171,7 @@
   @Override
   public void onNotice(UpstreamNotice notice) {
     onRequestLimit(notice.limit());
+    forwarder.brittleRooms().onNotice(upstream, notice, sentAtMillis);
     if (notice.isLeaving()) {
       forwarder.onLeaving(upstream);
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -383,8 +383,11 @@
       return;
     }
     OptionalLong pause = forwarder.pausedRetryMillis(service.name());
+    OptionalLong room = forwarder.brittleRooms().retryMillis(service.name());
     if (pause.isPresent()) {
       endWithoutUpstream(pause.getAsLong(), "asked for a pause");
+    } else if (room.isPresent()) {
+      endWithoutUpstream(room.getAsLong(), "are brittle and have no room");
     } else {
       endUnserved("no upstream of " + service.name() + " is left");
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -68,6 +68,7 @@
   private final Map<String, PromptSizes> promptSizes = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
   private final UpstreamPauses pauses = new UpstreamPauses();
+  private final BrittleRooms brittleRooms;
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private boolean stopping;
@@ -110,6 +111,7 @@
     this.settings = Objects.requireNonNull(settings, "settings");
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
+    this.brittleRooms = new BrittleRooms(scheduler, fleet, loads, log, random);
     crashes.onNewBlock(() -> List.copyOf(running).forEach(ForwardTask::endIfBlocked));
   }
 
@@ -341,7 +343,8 @@
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
       if (isEligible.test(e)
           && pauses.remainingMillis(e.id(), now) == 0
-          && loads.waitMillis(e.id()) == 0) {
+          && loads.waitMillis(e.id()) == 0
+          && brittleRooms.hasRoom(e)) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
@@ -441,6 +444,10 @@
     }
   }
 
+  BrittleRooms brittleRooms() {
+    return brittleRooms;
+  }
+
   StreamOrigins origins() {
     return origins;
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -13,6 +13,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.core.forward.BrittleShare;
+import org.hibiscusreel.core.forward.BrittleUpstreams;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.PeerLoads;
@@ -47,9 +49,9 @@
   static final int MAX_REPORTED_LIMITS = 50;
 
   /**
-   * Largest number of daemons that take requests from a limit in common. With more daemons their
-   * reports are so rare that they would exceed the limit before they hear of each other; then a few
-   * daemons have equal parts of it.
+   * Largest number of daemons that take requests from a limit, or from the free room of a brittle
+   * upstream, in common. With more daemons their reports are so rare that they would exceed it
+   * before they hear of each other; then each has a fixed part, or none.
    */
   static final int MAX_COMMON_DAEMONS = 16;
 
@@ -77,6 +79,9 @@
   /** Largest number of versions in a report, so that it fits into a datagram. */
   static final int MAX_REPORTED_VERSIONS = 100;
 
+  /** Largest number of brittle upstreams in a report, so that it fits into a datagram. */
+  static final int MAX_REPORTED_BRITTLE = 30;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -120,6 +125,7 @@
   private final Map<String, UpstreamLoad> ownLoad = new HashMap<>();
   private final PeerLoads peerLoads = new PeerLoads();
   private final UpstreamLimits limits = new UpstreamLimits();
+  private final BrittleUpstreams brittle = new BrittleUpstreams();
   private final LongSupplier ownVersion;
   private final Supplier<Set<StreamOrigin>> upstreamVersions;
   private final PeerListener peerListener;
@@ -171,6 +177,7 @@
           long now = scheduler.nowMillis();
           if (peerLoads.onReport(r, now)) {
             limits.onReport(r.sender(), r.limits(), isCommon(), now);
+            brittle.onReport(r.sender(), r.brittle(), now);
             r.versions().ifPresent(v -> peerListener.onUpstreamVersions(r.sender(), v));
           }
           peerListener.onVersion(r.configurationVersion());
@@ -203,6 +210,7 @@
     ids.forEach(ownLoad::remove);
     ids.forEach(ownRanks::remove);
     limits.onRemoved(ids);
+    brittle.onRemoved(ids);
   }
 
   /**
@@ -275,6 +283,20 @@
         });
   }
 
+  /** Returns the part of this daemon in the room of a brittle upstream. */
+  BrittleShare brittleShare(String upstream) {
+    int daemons = Math.max(1, daemonCount.getAsInt());
+    int heard = peerLoads.senderCount(scheduler.nowMillis(), HEARD_MILLIS);
+    long reportMillis = Math.max(REPORT_DELAY_MILLIS, minReportIntervalMillis());
+    boolean mayBorrow = isCommon() && heard >= daemons - 1;
+    return new BrittleShare(daemons, ownRank(upstream), mayBorrow, reportMillis);
+  }
+
+  /** Returns the brittle upstreams. */
+  BrittleUpstreams brittle() {
+    return brittle;
+  }
+
   /** Returns the limits that upstreams have named. */
   UpstreamLimits limits() {
     return limits;
@@ -346,7 +368,10 @@
     announcedUntilMillis.values().removeIf(end -> end <= scheduler.nowMillis());
     List<LeavingUpstream> leaving =
         announcedUntilMillis.keySet().stream().limit(MAX_REPORTED_LEAVING).toList();
-    boolean isEmpty = entries.isEmpty() && limited.isEmpty() && leaving.isEmpty();
+    List<BrittleUpstreams.Report> reportedBrittle =
+        brittle.toReport(MAX_REPORTED_BRITTLE, scheduler.nowMillis());
+    boolean isEmpty =
+        entries.isEmpty() && limited.isEmpty() && leaving.isEmpty() && reportedBrittle.isEmpty();
     Set<StreamOrigin> versions = upstreamVersions.get();
     boolean areVersionsNew = !versions.equals(lastUpstreamVersions);
     boolean isUnchanged =
@@ -370,6 +395,13 @@
     transport.send(
         peers,
         new LoadReport(
-            self.incarnation(), ++sequence, version, entries, limited, leaving, reported));
+            self.incarnation(),
+            ++sequence,
+            version,
+            entries,
+            limited,
+            leaving,
+            reported,
+            reportedBrittle));
   }
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/BrittleSimulation.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/BrittleSimulation.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -26,17 +26,43 @@
   /** Time after its first notice from which an upstream lets none wait and may end. */
   static final long CONTACT_MILLIS = 3_000;
 
-  static final int SLOTS = 6;
   private static final int WAITING = 4;
   private static final long DOWN_MILLIS = 3_000;
   private static final long SECOND_MILLIS = 1_000;
   private static final int NETWORK_MILLIS = 4;
 
+  /**
+   * Daemons that receive the same requests, or only the first of them most.
+   *
+   * @param daemons number of daemons
+   * @param lossShare part of the load reports that is lost, 0 to 1
+   * @param isUneven whether half of the requests come to the first daemon
+   */
+  record Fleet(int daemons, double lossShare, boolean isUneven) {}
+
+  /**
+   * Upstreams of one kind.
+   *
+   * @param count number of upstreams
+   * @param slots requests that an upstream says it can run
+   * @param room requests for which its memory has room, up to the slots
+   * @param meanMillis mean duration of a request in milliseconds
+   * @param tolerance rejections per second that it survives
+   */
+  record Upstreams(int count, int slots, int room, int meanMillis, int tolerance) {
+
+    /** Returns the requests per second that they can take. */
+    double perSecond() {
+      return count * room * 1_000.0 / meanMillis;
+    }
+  }
+
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final Random random;
   private final double lossShare;
   private final int tolerance;
-  private final int meanMillis;
+  private final Upstreams kind;
+  private final boolean isUneven;
   private final List<ForwardHarness> daemons = new ArrayList<>();
   private final Map<String, Consumer<LoadReport>> receivers = new HashMap<>();
   private final Map<String, Upstream> upstreams = new HashMap<>();
@@ -44,21 +70,17 @@
   private int falls;
   private int servedInContact;
 
-  BrittleSimulation(
-      Random random,
-      int daemonCount,
-      int upstreamCount,
-      double lossShare,
-      int tolerance,
-      int meanMillis) {
+  BrittleSimulation(Random random, Fleet fleet, Upstreams kind) {
     this.random = random;
-    this.lossShare = lossShare;
-    this.tolerance = tolerance;
-    this.meanMillis = meanMillis;
+    this.lossShare = fleet.lossShare();
+    this.tolerance = kind.tolerance();
+    this.kind = kind;
+    this.isUneven = fleet.isUneven();
+    int daemonCount = fleet.daemons();
     for (int i = 0; i < daemonCount; i++) {
       daemons.add(newDaemon("d" + i, daemonCount));
     }
-    for (int i = 0; i < upstreamCount; i++) {
+    for (int i = 0; i < kind.count(); i++) {
       startUpstream("10.0.0.1:" + i, "here");
     }
   }
@@ -95,7 +117,7 @@
   private void startUpstream(String address, String domain) {
     UpstreamEntry entry =
         new UpstreamEntry(
-            "u" + instances++, "s", address, domain, false, SLOTS, scheduler.nowMillis());
+            "u" + instances++, "s", address, domain, false, kind.slots(), scheduler.nowMillis());
     upstreams.put(entry.id(), new Upstream(entry));
     daemons.forEach(d -> d.upstreams.put(entry));
   }
@@ -114,7 +136,8 @@
     double due = scheduler.nowMillis();
     while (scheduler.nowMillis() < end) {
       while (due <= scheduler.nowMillis()) {
-        daemons.get(random.nextInt(daemons.size())).begin(ForwardHarness.plain("/a/x", "key"));
+        int daemon = isUneven && random.nextBoolean() ? 0 : random.nextInt(daemons.size());
+        daemons.get(daemon).begin(ForwardHarness.plain("/a/x", "key"));
         due -= Math.log(1 - random.nextDouble()) * SECOND_MILLIS / requestsPerSecond;
       }
       scheduler.run(1);
@@ -132,7 +155,7 @@
 
   private final class Upstream {
     private final UpstreamEntry entry;
-    private final Set<ForwardHarness.Sent> busy = new HashSet<>();
+    private final Set<ForwardHarness.Sent> busy = new LinkedHashSet<>();
     private final Deque<ForwardHarness.Sent> waiting = new ArrayDeque<>();
     private final Deque<Long> rejectedAtMillis = new ArrayDeque<>();
     private boolean isDown;
@@ -150,7 +173,7 @@
         after(network(), () -> s.fail(AttemptOutcome.NOT_SENT));
       } else if (s.cancelled) {
         return;
-      } else if (busy.size() < SLOTS) {
+      } else if (busy.size() < kind.room()) {
         begin(s);
       } else if (waiting.size() < (isInContact() ? 0 : WAITING)) {
         waiting.add(s);
@@ -161,7 +184,7 @@
 
     private void begin(ForwardHarness.Sent s) {
       busy.add(s);
-      after(meanMillis / 2 + random.nextInt(meanMillis), () -> end(s));
+      after(kind.meanMillis() / 2 + random.nextInt(kind.meanMillis()), () -> end(s));
     }
 
     private void end(ForwardHarness.Sent s) {
--- a/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/LoadReport.java
@@ -17,6 +17,7 @@
  * @param leaving upstreams that have said lately that they are shutting down
  * @param versions versions of the upstreams' software that the daemon has seen lately, or empty if
  *     the report does not tell
+ * @param brittle upstreams that have said that they are brittle, and those that ceased to be
  */
 public record LoadReport(
     String sender,
@@ -25,7 +26,8 @@
     List<Entry> entries,
     List<UpstreamLimits.Report> limits,
     List<LeavingUpstream> leaving,
-    Optional<List<StreamOrigin>> versions) {
+    Optional<List<StreamOrigin>> versions,
+    List<BrittleUpstreams.Report> brittle) {
 
   /**
    * Load on one upstream.
@@ -42,5 +44,28 @@
     limits = List.copyOf(limits);
     leaving = List.copyOf(leaving);
     versions = versions.map(List::copyOf);
+    brittle = List.copyOf(brittle);
+  }
+
+  /**
+   * Creates a report without brittle upstreams.
+   *
+   * @param sender incarnation of the daemon
+   * @param sequence number of the report within the incarnation, increasing
+   * @param configurationVersion version of the configuration that the daemon has confirmed lately
+   * @param entries upstreams at which the daemon has requests
+   * @param limits upstreams that have named a limit
+   * @param leaving upstreams that have said lately that they are shutting down
+   * @param versions versions of the upstreams' software, or empty if the report does not tell
+   */
+  public LoadReport(
+      String sender,
+      long sequence,
+      long configurationVersion,
+      List<Entry> entries,
+      List<UpstreamLimits.Report> limits,
+      List<LeavingUpstream> leaving,
+      Optional<List<StreamOrigin>> versions) {
+    this(sender, sequence, configurationVersion, entries, limits, leaving, versions, List.of());
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -20,6 +20,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.hibiscusreel.coordination.forward.CrashTransport;
 import org.hibiscusreel.coordination.forward.HolderCopy;
@@ -27,8 +28,10 @@
 import org.hibiscusreel.coordination.forward.LoadTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.crash.CrashReport;
+import org.hibiscusreel.core.forward.BrittleUpstreams;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
+import org.hibiscusreel.core.forward.RejectionTolerance;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamLimits;
@@ -64,8 +67,13 @@
 
   private static final int FIELDS_PER_VERSION = 2;
 
-  /** Number of arrays at the end of a report: the limits, the leaving upstreams, the versions. */
-  private static final int MAX_ARRAYS = 3;
+  private static final int FIELDS_PER_BRITTLE = 7;
+
+  /**
+   * Number of arrays at the end of a report: the limits, the leaving upstreams, the versions, the
+   * brittle upstreams.
+   */
+  private static final int MAX_ARRAYS = 4;
 
   private static final String HOLDERS = "holders";
   private static final int FIELDS_PER_HOLDER = 5;
@@ -175,10 +183,11 @@
 
   /**
    * Writes {@code [sender, sequence, configuration version, upstream, requests, pending prefill
-   * tokens, upstream, ...]}. Up to three arrays may follow, each with those before it: {@code
+   * tokens, upstream, ...]}. Up to four arrays may follow, each with those before it: {@code
    * [upstream, limit or null, age, sent requests]} of upstreams that have named limits, {@code
-   * [upstream, address, start]} of upstreams that are leaving, and {@code [service, version]} of
-   * versions that the sender has seen.
+   * [upstream, address, start]} of upstreams that are leaving, {@code [service, version]} of
+   * versions that the sender has seen, or null instead if it does not tell, and {@code [upstream,
+   * service, start, tolerance or null, age, bound, rejections]} of brittle upstreams.
    */
   private static byte[] write(LoadReport report) {
     ArrayNode fields = JsonBodies.MAPPER.createArrayNode();
@@ -186,7 +195,8 @@
     for (LoadReport.Entry entry : report.entries()) {
       fields.add(entry.upstream()).add(entry.requests()).add(entry.pendingPrefillTokens());
     }
-    boolean hasVersions = report.versions().isPresent();
+    boolean hasBrittle = !report.brittle().isEmpty();
+    boolean hasVersions = hasBrittle || report.versions().isPresent();
     boolean hasLeaving = hasVersions || !report.leaving().isEmpty();
     if (hasLeaving || !report.limits().isEmpty()) {
       ArrayNode limits = fields.addArray();
@@ -204,10 +214,22 @@
     }
     if (hasVersions) {
       ArrayNode versions = fields.addArray();
-      for (StreamOrigin v : report.versions().get()) {
+      if (report.versions().isEmpty()) {
+        versions.addNull();
+      }
+      for (StreamOrigin v : report.versions().orElse(List.of())) {
         versions.addArray().add(v.service()).add(v.softwareVersion());
       }
     }
+    if (hasBrittle) {
+      ArrayNode brittle = fields.addArray();
+      for (BrittleUpstreams.Report r : report.brittle()) {
+        ArrayNode b = brittle.addArray().add(r.upstream()).add(r.service());
+        b.add(r.startedAtMillis());
+        r.perSecond().ifPresentOrElse(b::add, b::addNull);
+        b.add(r.ageMillis()).add(r.bound()).add(r.rejections());
+      }
+    }
     return JsonBodies.write(fields);
   }
 
@@ -238,11 +260,12 @@
         entries,
         readLimits(fields.path(size)),
         readLeaving(fields.path(size + 1)),
-        readVersions(fields.path(size + 2)));
+        readVersions(fields.path(size + 2)),
+        readBrittle(fields.path(size + 3)));
   }
 
   private static Optional<List<StreamOrigin>> readVersions(JsonNode versions) throws IOException {
-    if (versions.isMissingNode()) {
+    if (versions.isMissingNode() || versions.path(0).isNull()) {
       return Optional.empty();
     }
     List<StreamOrigin> result = new ArrayList<>();
@@ -255,6 +278,28 @@
     return Optional.of(result);
   }
 
+  private static List<BrittleUpstreams.Report> readBrittle(JsonNode brittle) throws IOException {
+    List<BrittleUpstreams.Report> result = new ArrayList<>();
+    for (JsonNode b : brittle) {
+      if (b.size() < FIELDS_PER_BRITTLE) {
+        throw new IOException("a brittle upstream in a load report is incomplete");
+      }
+      result.add(
+          new BrittleUpstreams.Report(
+              JsonBodies.text(b.get(0)),
+              JsonBodies.text(b.get(1)),
+              JsonBodies.wholeNumber(b.get(2), Long.MAX_VALUE),
+              b.get(3).isNull()
+                  ? OptionalInt.empty()
+                  : OptionalInt.of(
+                      (int) JsonBodies.wholeNumber(b.get(3), RejectionTolerance.MAX_PER_SECOND)),
+              JsonBodies.wholeNumber(b.get(4), MAX_NUMBER),
+              (int) JsonBodies.wholeNumber(b.get(5), Integer.MAX_VALUE),
+              JsonBodies.wholeNumber(b.get(6), MAX_NUMBER)));
+    }
+    return result;
+  }
+
   private static List<UpstreamLimits.Report> readLimits(JsonNode limits) throws IOException {
     List<UpstreamLimits.Report> result = new ArrayList<>();
     for (JsonNode limit : limits) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -14,12 +14,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.hibiscusreel.coordination.forward.HolderCopy;
 import org.hibiscusreel.core.crash.Block;
 import org.hibiscusreel.core.crash.CrashReport;
+import org.hibiscusreel.core.forward.BrittleUpstreams;
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.StreamOrigin;
@@ -162,6 +164,28 @@
     assertThat(next()).isEqualTo(report);
   }
 
+  /** Guards against brittle upstreams that the others never hear of. */
+  @ParameterizedTest
+  @CsvSource({"true,3", "false,3", "true,", "false,"})
+  void carriesBrittleUpstreams(boolean hasVersions, Integer tolerance) throws InterruptedException {
+    start();
+    OptionalInt perSecond = tolerance == null ? OptionalInt.empty() : OptionalInt.of(tolerance);
+    LoadReport report =
+        new LoadReport(
+            "a.1",
+            8,
+            12,
+            List.of(),
+            List.of(),
+            List.of(),
+            hasVersions ? Optional.of(List.of(new StreamOrigin("s", "v"))) : Optional.empty(),
+            List.of(
+                new BrittleUpstreams.Report(
+                    "u", "s", 1_790_000_000_000L, perSecond, 120, Integer.MAX_VALUE, 5)));
+    loop.run(() -> sender.send(List.of("127.0.0.1:" + second.getPort()), report));
+    assertThat(next()).isEqualTo(report);
+  }
+
   /** Guards against a rate below zero, or none, that another process reports. */
   @ParameterizedTest
   @ValueSource(strings = {"[[\"u\",-1,0,0]]", "[[\"u\"]]", "[[\"u\",1,0]]"})
