--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -138,6 +138,7 @@
   }
 
   void start(UpstreamTransport.UpstreamRequest outgoing) {
+    forwarder.brittleRooms().onSent(upstream, outgoing.caller().prompt());
     load.onSent(prefillTokens);
     forwarder.loads().limits().onSent(upstream.id());
     forwarder.loads().scheduleReport();
@@ -171,6 +172,7 @@
   @Override
   public void onNotice(UpstreamNotice notice) {
     forwarder.notices().onNotice(upstream, notice, sentAtMillis);
+    forwarder.brittleRooms().onNotice(upstream, notice, sentAtMillis);
   }
 
   @Override
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -69,6 +69,7 @@
   private final Map<String, PromptSizes> promptSizes = new HashMap<>();
   private final Map<String, PrefillRate> prefillRates = new HashMap<>();
   private final UpstreamNotices notices;
+  private final BrittleRooms brittleRooms;
   private final Set<ForwardTask> running = new HashSet<>();
   private final ResponseBuffers responseBuffers = new ResponseBuffers();
   private boolean stopping;
@@ -112,6 +113,7 @@
     this.log = Objects.requireNonNull(log, "log");
     this.random = Objects.requireNonNull(random, "random");
     this.notices = new UpstreamNotices(scheduler, fleet, loads, log);
+    this.brittleRooms = new BrittleRooms(scheduler, fleet, loads, log, random);
     crashes.onNewBlock(() -> List.copyOf(running).forEach(ForwardTask::endIfBlocked));
   }
 
@@ -355,7 +357,10 @@
     PeerLoads others = loads.peerLoads();
     List<UpstreamSelector.Candidate> candidates = new ArrayList<>();
     for (UpstreamEntry e : fleet.upstreams().usable(service, now)) {
-      if (isEligible.test(e) && notices.pauseMillis(e.id()) == 0 && loads.waitMillis(e.id()) == 0) {
+      if (isEligible.test(e)
+          && notices.pauseMillis(e.id()) == 0
+          && loads.waitMillis(e.id()) == 0
+          && brittleRooms.hasRoom(e)) {
         candidates.add(new UpstreamSelector.Candidate(e, loads.ownLoad(e.id()), others.at(e.id())));
       }
     }
@@ -449,6 +454,10 @@
     return notices;
   }
 
+  BrittleRooms brittleRooms() {
+    return brittleRooms;
+  }
+
   StreamOrigins origins() {
     return origins;
   }
