--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -74,6 +74,7 @@
   private final long callerDeadlineAtMillis;
   private final long timeoutAtMillis;
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<String> unreachedUpstreams = new HashSet<>();
   private final AttemptHistory attempts = new AttemptHistory();
   private Set<String> knownTraits;
   private Optional<UpstreamCrashes.Admission.Suspect> suspect = Optional.empty();
@@ -334,6 +335,12 @@
   }
 
   private void send() {
+    Optional<Refusal> noPath = forwarder.checkPath();
+    if (noPath.isPresent()) {
+      releaseSuspect();
+      endUnserved(noPath.get());
+      return;
+    }
     Optional<UpstreamSelector.Choice> choice =
         suspect
             .map(
@@ -396,8 +403,11 @@
       return;
     }
     OptionalLong pause = forwarder.pausedRetryMillis(service.name());
+    OptionalLong room = forwarder.brittleRooms().retryMillis(service.name());
     if (pause.isPresent()) {
       endWithoutUpstream(pause.getAsLong(), "asked for a pause");
+    } else if (room.isPresent()) {
+      endWithoutUpstream(room.getAsLong(), "are brittle and have no room");
     } else {
       endUnserved("no upstream of " + service.name() + " is left");
     }
@@ -485,9 +495,15 @@
             && attempt.progress() == AttemptProgress.STARTED
             && forwarder.crashes().hasCrashed(upstream);
     recordAttemptResult(outcome + " " + reason);
-    if (outcome == AttemptOutcome.NOT_SENT) {
+    if (!outcome.wasSent()) {
       sentAttempts--;
       unsentAttempts++;
+      unreachedUpstreams.add(upstream.id());
+    }
+    if (outcome == AttemptOutcome.NO_PATH) {
+      // They were not reached because of this host and may be reached through another one.
+      triedUpstreams.removeAll(unreachedUpstreams);
+      unreachedUpstreams.clear();
     }
     mayHaveRun |= outcome.mayHaveRun();
     if (mayBeCause && streamPosition.isEmpty()) {
@@ -542,7 +558,8 @@
 
   private void recordAttemptResult(String result) {
     long after = forwarder.scheduler().nowMillis() - arrivalMillis;
-    attempts.add(attempt.upstream().id(), after, result, attempt.progress());
+    String via = attempt.relay().map(r -> " via " + r).orElse("");
+    attempts.add(attempt.upstream().id(), after, result + via, attempt.progress());
     attempt = null;
     releaseSuspect();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -1,6 +1,7 @@
 package org.hibiscusreel.coordination.forward;
 
 import java.util.List;
+import java.util.Optional;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
@@ -64,6 +65,15 @@
   /** A request in progress. */
   interface Exchange {
 
+    /**
+     * Returns the daemon through which the request was sent last.
+     *
+     * @return its address, or empty if this host sent the request itself
+     */
+    default Optional<String> relay() {
+      return Optional.empty();
+    }
+
     /** Stops reading the response until {@link #resumeReading}. */
     void pause();
 
@@ -87,4 +97,22 @@
    * @throws RuntimeException if the request can't be sent to this upstream; nothing was sent
    */
   Exchange send(UpstreamEntry upstream, UpstreamRequest request, Listener listener);
+
+  /**
+   * Tells whether this host opens no connections to upstreams itself, because they fail.
+   *
+   * @return true while other daemons relay the requests
+   */
+  default boolean isIsolated() {
+    return false;
+  }
+
+  /**
+   * Tells whether a request can be sent at all.
+   *
+   * @return false while this host reaches neither an upstream nor a daemon that relays
+   */
+  default boolean hasPath() {
+    return true;
+  }
 }
