--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/BrittleRooms.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/BrittleRooms.java
@@ -68,7 +68,7 @@
   /** Returns whether an upstream is not brittle or has room for a request of this daemon. */
   boolean hasRoom(UpstreamEntry upstream) {
     long now = scheduler.nowMillis();
-    // The lower half of the bits is enough for a number from 0 to 1.
+    // 31 bits are enough for a number from 0 to 1.
     return brittle().tolerance(upstream, now).isEmpty()
         || brittle()
             .admits(
