--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -139,6 +139,7 @@
   private long lastReportedVersion;
   private Set<StreamOrigin> lastUpstreamVersions = Set.of();
   private long upstreamVersionsSentAtMillis;
+  private boolean areVersionsChanged;
   private boolean stopped;
 
   /**
@@ -327,8 +328,14 @@
     scheduleReport();
   }
 
+  /** Schedules a report of the versions of the upstreams, which may have changed. */
+  public void onUpstreamListed() {
+    areVersionsChanged = true;
+    scheduleReport();
+  }
+
   /** Schedules a report after a change of what this daemon reports. */
-  public void scheduleReport() {
+  void scheduleReport() {
     if (isReportScheduled || peers.isEmpty()) {
       return;
     }
@@ -377,7 +384,12 @@
         brittle.toReport(MAX_REPORTED_BRITTLE, scheduler.nowMillis());
     boolean isEmpty =
         entries.isEmpty() && limited.isEmpty() && leaving.isEmpty() && reportedBrittle.isEmpty();
-    Set<StreamOrigin> versions = upstreamVersions.get();
+    // Collecting the versions takes long where upstreams are many.
+    boolean areVersionsDue =
+        areVersionsChanged
+            || scheduler.nowMillis() - upstreamVersionsSentAtMillis >= VERSIONS_INTERVAL_MILLIS;
+    areVersionsChanged = false;
+    Set<StreamOrigin> versions = areVersionsDue ? upstreamVersions.get() : lastUpstreamVersions;
     boolean areVersionsNew = !versions.equals(lastUpstreamVersions);
     boolean isUnchanged =
         isEmpty && wasLastReportEmpty && version == lastReportedVersion && !areVersionsNew;
@@ -387,9 +399,6 @@
     wasLastReportEmpty = isEmpty;
     lastReportedVersion = version;
     lastSentAtMillis = scheduler.nowMillis();
-    boolean areVersionsDue =
-        areVersionsNew
-            || lastSentAtMillis - upstreamVersionsSentAtMillis >= VERSIONS_INTERVAL_MILLIS;
     if (areVersionsDue) {
       upstreamVersionsSentAtMillis = lastSentAtMillis;
       lastUpstreamVersions = versions;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -450,7 +450,7 @@
     @Override
     public void onUpstreamListed(UpstreamEntry upstream) {
       origins.onListed(upstream);
-      loadExchange.scheduleReport();
+      loadExchange.onUpstreamListed();
     }
 
     @Override
