Report versions at once only when one is listed for the first time

Each written or removed entry of an upstream scheduled a report to all other daemons, although almost none has a new version; upstreams write their entries about once a second, so that daemons of a large fleet sent as many reports as they may all the time.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/LoadExchange.java
@@ -328,8 +328,10 @@
     scheduleReport();
   }
 
-  /** Schedules a report of the versions of the upstreams, which may have changed. */
-  public void onUpstreamListed() {
+  /**
+   * Schedules a report of the versions of the upstreams, since one was listed for the first time.
+   */
+  public void onVersionListed() {
     areVersionsChanged = true;
     scheduleReport();
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -247,9 +247,10 @@
    * Records that an upstream is listed, or was until now. The view is looked at only now and then.
    *
    * @param upstream its entry
+   * @return true if its version was not known
    */
-  public void onListed(UpstreamEntry upstream) {
-    evidence.onListed(upstream);
+  public boolean onListed(UpstreamEntry upstream) {
+    return evidence.onListed(upstream);
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -43,9 +43,13 @@
     this.daemons = Objects.requireNonNull(daemons, "daemons");
   }
 
-  /** Records that an upstream is listed, or was until now. */
-  void onListed(UpstreamEntry upstream) {
-    seen.add(StreamOrigin.of(upstream), scheduler.nowMillis());
+  /**
+   * Records that an upstream is listed, or was until now.
+   *
+   * @return true if its version was not known
+   */
+  boolean onListed(UpstreamEntry upstream) {
+    return seen.add(StreamOrigin.of(upstream), scheduler.nowMillis());
   }
 
   /** Records the versions that another daemon has seen lately. */
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/LoadExchangeTest.java
@@ -79,7 +79,7 @@
     LoadExchange a = daemon("a", "b");
     daemon("b");
     upstreamVersions = Set.of(new StreamOrigin("s", "v1"));
-    a.onUpstreamListed();
+    a.onVersionListed();
     scheduler.run(LoadExchange.REPORT_DELAY_MILLIS);
     assertThat(peerUpstreamVersions.get("a.1")).containsExactly(new StreamOrigin("s", "v1"));
     peerUpstreamVersions.clear();
--- a/core/src/main/java/org/hibiscusreel/core/forward/VersionSightings.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/VersionSightings.java
@@ -15,9 +15,12 @@
    *
    * @param version service and version
    * @param atMillis monotonic time in milliseconds
+   * @return true if it was not known
    */
-  public void add(StreamOrigin version, long atMillis) {
+  public boolean add(StreamOrigin version, long atMillis) {
+    boolean isNew = !lastAtMillis.containsKey(version);
     lastAtMillis.merge(version, atMillis, Math::max);
+    return isNew;
   }
 
   /**
--- a/core/src/test/java/org/hibiscusreel/core/forward/VersionSightingsTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/VersionSightingsTest.java
@@ -12,8 +12,8 @@
   @Test
   void keepsTheLatestSighting() {
     StreamOrigin version = new StreamOrigin("s", "v1");
-    sightings.add(version, 500);
-    sightings.add(version, 300);
+    assertThat(sightings.add(version, 500)).isTrue();
+    assertThat(sightings.add(version, 300)).isFalse();
     sightings.add(new StreamOrigin("t", "v1"), 600);
     assertThat(sightings.since("s", 500)).containsExactly(version);
     assertThat(sightings.since("s", 501)).isEmpty();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -449,8 +449,9 @@
 
     @Override
     public void onUpstreamListed(UpstreamEntry upstream) {
-      origins.onListed(upstream);
-      loadExchange.onUpstreamListed();
+      if (origins.onListed(upstream)) {
+        loadExchange.onVersionListed();
+      }
     }
 
     @Override
