Report streams to the other daemons while several versions are in use

Cause: only the daemon at which a stream began and the store know its version, and only they know an upstream that joined since. Here the one was killed and the other turns the daemon away.

Now each daemon reports its streams of the last 16 s to the others while several versions of the service are in use, twice each, with the upstreams of these versions that were listed lately. Such an upstream is used for ten seconds, and only where the store can't be asked and no other one of the version is known.

Rows of the store are as before.

Before: findsStreamOfAnEndedDaemonWithoutTheStore red in five of seven cases without reports, goesOnAtUpstreamThatAnotherDaemonReported red without the use of reported upstreams.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -172,10 +172,11 @@
 
   /** Refuses for good only if the upstreams of now are known. */
   private void awaitUpstream(StreamOrigin o) {
-    catchUp(areCurrent -> onUpstreams(o, areCurrent));
+    catchUp(o, areCurrent -> onUpstreams(o, areCurrent));
   }
 
-  private void catchUp(Consumer<Boolean> step) {
+  /** Asks the store for the upstreams of now, or else relies on what other daemons have told. */
+  private void catchUp(StreamOrigin o, Consumer<Boolean> step) {
     long waitMillis = Math.min(StreamOrigins.CATCH_UP_TIMEOUT_MILLIS, remainingMillis());
     var unused =
         forwarder
@@ -184,7 +185,13 @@
             .thenAccept(
                 areCurrent -> {
                   if (!ended) {
-                    runStep(() -> step.accept(areCurrent));
+                    runStep(
+                        () -> {
+                          if (!areCurrent) {
+                            forwarder.useReportedUpstreams(o);
+                          }
+                          step.accept(areCurrent);
+                        });
                   }
                 });
   }
@@ -351,7 +358,7 @@
     if (choice.isEmpty() && origin.isPresent() && !hasCaughtUp) {
       hasCaughtUp = true;
       releaseSuspect();
-      catchUp(isCurrent -> dispatch());
+      catchUp(origin.get(), isCurrent -> dispatch());
       return;
     }
     if (choice.isEmpty()) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -320,6 +320,31 @@
         .anyMatch(origin::isContinuedBy);
   }
 
+  /**
+   * Uses the upstreams that can go on with a stream and that only other daemons know, since this
+   * one can't ask the store.
+   */
+  void useReportedUpstreams(StreamOrigin origin) {
+    long now = scheduler.nowMillis();
+    for (UpstreamEntry e : origins.reportedUpstreams(origin)) {
+      if (fleet.upstreams().putReported(e, now)) {
+        log.record(
+            "upstream_reported",
+            Map.of(
+                "upstream",
+                e.id(),
+                "service",
+                e.service(),
+                "address",
+                e.address(),
+                "software",
+                e.softwareVersion(),
+                "upstreams_age_ms",
+                fleet.upstreamDataAgeMillis()));
+      }
+    }
+  }
+
   /**
    * Returns by how much the first event is expected too late. While some upstreams limit what they
    * take, the others may not be able to take the rest.
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -23,13 +23,16 @@
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.core.forward.ReportedUpstreams;
 import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
 /**
  * Knows at which version of a service the streams of the last seconds have begun, also those of
  * daemons that have ended. Each daemon records its streams in the store, a few times a second, in
- * rows of a few seconds each that it uses again in turn. Used only on the event loop thread.
+ * rows of a few seconds each that it uses again in turn. It also reports them to the other daemons
+ * while several versions are in use. Used only on the event loop thread.
  */
 public final class StreamOrigins {
 
@@ -109,6 +112,8 @@
     NONE,
     /** The record of the stream in the store. */
     RECORD,
+    /** The report of the daemon at which the stream began. */
+    REPORT,
     /** The versions in the rows of all daemons and in the view of this one. */
     ROWS,
     /** The view of this daemon alone. */
@@ -156,11 +161,14 @@
   private final String host;
   private final double writesPerSecond;
   private final IntSupplier daemons;
+  private final StreamTransport transport;
   private final DecisionLog log;
   private final Map<String, Begun> known = new LinkedHashMap<>();
   private final TreeMap<Long, Map<String, StreamOrigin>> ownRows = new TreeMap<>();
   private final Set<Long> unwritten = new TreeSet<>();
   private final VersionEvidence evidence;
+  private final StreamExchange exchange;
+  private final ReportedUpstreams reported = new ReportedUpstreams();
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of();
   private Cancellable nextRead = () -> {};
@@ -184,6 +192,7 @@
    * @param host name of this host
    * @param writesPerSecond write rate that the store accepts from all daemons together
    * @param daemons number of daemons that write records
+   * @param transport reports streams to the other daemons
    * @param log receives what can't be found
    * @throws NullPointerException if an argument is null
    */
@@ -195,6 +204,7 @@
       String host,
       double writesPerSecond,
       IntSupplier daemons,
+      StreamTransport transport,
       DecisionLog log) {
     this.table = Objects.requireNonNull(table, "table");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
@@ -203,19 +213,32 @@
     this.host = Objects.requireNonNull(host, "host");
     this.writesPerSecond = writesPerSecond;
     this.daemons = Objects.requireNonNull(daemons, "daemons");
+    this.transport = Objects.requireNonNull(transport, "transport");
     this.log = Objects.requireNonNull(log, "log");
     this.evidence = new VersionEvidence(scheduler, clock, fleet, daemons);
+    this.exchange = new StreamExchange(scheduler, transport, fleet, evidence::hasSeveral);
   }
 
   /** Reads the records of all daemons and starts to write those of this one. */
   public void start() {
+    transport.receiveStreams(this::onPeerStreams);
     read();
     scheduler.schedule(writeIntervalMillis(), this::writeAll);
   }
 
-  /** Stops writing records. */
+  /**
+   * Sets the addresses of the other daemons.
+   *
+   * @param addresses addresses at which they receive reports
+   */
+  public void onPeers(List<String> addresses) {
+    exchange.onPeers(addresses);
+  }
+
+  /** Stops writing and reporting records. */
   public void stop() {
     stopped = true;
+    exchange.stop();
     nextRead.cancel();
   }
 
@@ -235,6 +258,7 @@
       return;
     }
     keep(request, origin, scheduler.nowMillis());
+    exchange.onBegun(request, origin);
     long number = currentRow();
     Map<String, StreamOrigin> row = ownRows.computeIfAbsent(number, n -> new LinkedHashMap<>());
     if (row.size() < MAX_STREAMS) {
@@ -250,7 +274,12 @@
    * @return true if its version was not known
    */
   public boolean onListed(UpstreamEntry upstream) {
-    return evidence.onListed(upstream);
+    exchange.onListed(upstream);
+    boolean isNew = evidence.onListed(upstream);
+    if (isNew) {
+      exchange.onVersionsChanged();
+    }
+    return isNew;
   }
 
   /**
@@ -270,6 +299,26 @@
    */
   public void onPeerVersions(String sender, Collection<StreamOrigin> versions) {
     evidence.onReport(sender, versions);
+    exchange.onVersionsChanged();
+  }
+
+  private void onPeerStreams(StreamReport report) {
+    long now = scheduler.nowMillis();
+    for (StreamReport.Streams s : report.streams()) {
+      s.requests().forEach(r -> known.putIfAbsent(r, new Begun(s.origin(), now)));
+    }
+    report.upstreams().forEach(u -> reported.add(u, now));
+    List.copyOf(lookups).forEach(l -> endIfKnown(l, Source.REPORT));
+  }
+
+  /**
+   * Returns the upstreams that can go on with a stream and of which other daemons have told lately.
+   * The store may list them no more.
+   *
+   * @param origin what began the stream
+   */
+  List<UpstreamEntry> reportedUpstreams(StreamOrigin origin) {
+    return reported.continuing(origin, scheduler.nowMillis());
   }
 
   private void keep(String request, StreamOrigin origin, long atMillis) {
@@ -391,18 +440,18 @@
         return;
       }
       apply(reading.rows);
-      reading.asked.forEach(this::endIfRecorded);
+      reading.asked.forEach(l -> endIfKnown(l, Source.RECORD));
     }
     reading.isScanned = true;
     readMillis = scheduler.nowMillis() - readBeganAtMillis;
     endReading(reading);
   }
 
-  private void endIfRecorded(Lookup lookup) {
+  private void endIfKnown(Lookup lookup, Source source) {
     lookup
         .request()
         .map(known::get)
-        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), Source.RECORD));
+        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), source));
   }
 
   /** Ends a read once both the rows and the upstreams of now are known, or can't be. */
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -129,6 +129,11 @@
     return candidates;
   }
 
+  /** Returns whether streams of a service can have begun at several versions. */
+  boolean hasSeveral(String service) {
+    return candidates(service).size() > 1;
+  }
+
   /**
    * Concludes from the view of this daemon. It must have received all changes of the upstreams for
    * as long as streams are kept, the last of them after the question.
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.WeightedService;
@@ -44,6 +46,7 @@
   final List<Sent> sent = new ArrayList<>();
   final List<String> callerEvents = new ArrayList<>();
   final List<Map<String, Object>> logLines = new ArrayList<>();
+  final Map<String, Consumer<StreamReport>> streamReceivers = new HashMap<>();
   final StreamOrigins origins;
   final PrepaidBudgets budgets;
   final UpstreamCrashes crashes;
@@ -182,6 +185,7 @@
             "d",
             800,
             this::daemonCount,
+            new FakeStreamTransport(streamReceivers, "d"),
             (e, f) -> {});
     this.forwarder =
         new Forwarder(
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -8,6 +8,7 @@
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -109,6 +110,35 @@
     }
   }
 
+  /**
+   * Guards against a stream that is refused although another daemon has told of an upstream that
+   * can go on with it, and against the use of what only others tell while the store can be asked.
+   */
+  @ParameterizedTest
+  @CsvSource({"false, v2, u1", "false, v3, ", "true, v2, "})
+  void goesOnAtUpstreamThatAnotherDaemonReported(
+      boolean isStoreReachable, String reportedVersion, String expected) {
+    harness.origins.start();
+    list("u0", "v1");
+    harness.isStoreReachable = isStoreReachable;
+    harness
+        .streamReceivers
+        .get("d")
+        .accept(
+            new StreamReport(
+                List.of(new StreamReport.Streams(new StreamOrigin("s", "v2"), List.of("id2"))),
+                List.of(
+                    new UpstreamEntry(
+                        "u1", "s", "127.0.0.1:2", "here", false, 4, reportedVersion, 7))));
+    takeUp("id2");
+    if (expected == null) {
+      assertThat(harness.sent).isEmpty();
+      assertThat(harness.refusal.kind()).isEqualTo(Refusal.Kind.NOT_RUN);
+    } else {
+      assertThat(harness.last().upstream.id()).isEqualTo(expected);
+    }
+  }
+
   /** Guards against a final refusal by a daemon that does not know the upstreams of now. */
   @ParameterizedTest
   @CsvSource({"true, 0", "false, 400"})
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -24,6 +25,7 @@
 import org.hibiscusreel.coordination.testing.VirtualStoreClock;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
@@ -37,6 +39,7 @@
 
   private final VirtualScheduler scheduler = new VirtualScheduler();
   private final FakeTable table = new FakeTable(scheduler);
+  private final Map<String, Consumer<StreamReport>> receivers = new HashMap<>();
   private long era;
 
   /** Table of a store that names its era. */
@@ -69,6 +72,7 @@
     private final UpstreamCatalog catalog = new UpstreamCatalog();
     private final String host;
     private final StreamOrigins origins;
+    private final FakeStreamTransport transport;
     private boolean alive = true;
     private int count = 2;
     private boolean isStoreReachable = true;
@@ -82,6 +86,7 @@
 
     private Daemon(String host, List<String> versions, TableService store) {
       this.host = host;
+      transport = new FakeStreamTransport(receivers, host);
       use(versions);
       origins =
           new StreamOrigins(
@@ -92,6 +97,7 @@
               host,
               800,
               this::daemonCount,
+              transport,
               (e, f) -> {});
       origins.start();
     }
@@ -297,6 +303,61 @@
         .isEqualTo(isKnown ? new Found.Known(origin("v1")) : new Found.Unavailable());
   }
 
+  /**
+   * Guards against streams that are refused, or go on at another version, since their daemon has
+   * ended and the store turns the other one away that knows no upstream of the new version.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "v1, false, 0, 40, v1",
+    "v2, false, 0, 40, v2",
+    "v2, false, 1, 300, v2",
+    "v1, true, 0, 40, v1",
+    "v1, true, 1, 300, v1",
+    "v2, false, 0, 10, ",
+    "v2, false, 2, 300, "
+  })
+  void findsStreamOfAnEndedDaemonWithoutTheStore(
+      String begunAt, boolean isVersionNewer, int losses, long millisUntilKill, String expected) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon second = new Daemon("b", List.of("v1"));
+    first.origins.onPeers(List.of("b"));
+    scheduler.run(30_000);
+    second.isStoreReachable = false;
+    second.isInStep = false;
+    first.transport.losses = losses;
+    if (isVersionNewer) {
+      first.origins.onBegun("id", origin(begunAt));
+      scheduler.run(1_000);
+    }
+    first.follow(List.of("v1", "v2"));
+    first.origins.onListed(upstream("v2"));
+    if (!isVersionNewer) {
+      first.origins.onBegun("id", origin(begunAt));
+    }
+    scheduler.run(millisUntilKill);
+    first.kill();
+    assertThat(second.find("id"))
+        .isEqualTo(expected == null ? new Found.Unavailable() : new Found.Known(origin(expected)));
+    if ("v2".equals(expected)) {
+      assertThat(second.origins.reportedUpstreams(origin("v2"))).containsExactly(upstream("v2"));
+    }
+  }
+
+  /** Guards against reports that take up the links while there is nothing to tell apart. */
+  @Test
+  void reportsNoStreamsWhileOneVersionIsInUse() {
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of("v1"));
+    first.origins.onPeers(List.of("b"));
+    List<StreamReport> reports = new ArrayList<>();
+    receivers.put("b", reports::add);
+    first.origins.onBegun("id", origin("v1"));
+    scheduler.run(1_000);
+    assertThat(reports).isEmpty();
+  }
+
   /** Guards against a count of daemons that is that of a moment in which others restarted. */
   @Test
   void needsReportsOfMostOfTheDaemonsOfLately() {
@@ -505,6 +566,11 @@
     }
   }
 
+  private static void connect(List<Daemon> daemons) {
+    List<String> hosts = daemons.stream().map(d -> d.host).toList();
+    daemons.forEach(d -> d.origins.onPeers(hosts.stream().filter(h -> !h.equals(d.host)).toList()));
+  }
+
   private void playDay(Random random, boolean fallOutOfStep) {
     scheduler.run(START_MILLIS);
     List<String> versions = new ArrayList<>(List.of("v1"));
@@ -512,6 +578,7 @@
     for (int h = 0; h < 3; h++) {
       daemons.add(new Daemon("h" + h, versions));
     }
+    connect(daemons);
     scheduler.run(fallOutOfStep ? 2 * StreamOrigins.KEEP_MILLIS : 0);
     int next = 2;
     int found = 0;
@@ -532,6 +599,7 @@
         }
         daemons.forEach(d -> d.follow(versions));
         Daemon daemon = daemons.get(random.nextInt(3));
+        daemon.transport.losses = random.nextInt(4) == 0 ? 1 : 0;
         List<UpstreamEntry> known = List.copyOf(daemon.catalog.all());
         StreamOrigin origin = StreamOrigin.of(known.get(random.nextInt(known.size())));
         String id = round + "." + i;
@@ -555,6 +623,7 @@
         }
         daemons.get(h).follow(versions);
       }
+      connect(daemons);
       scheduler.run(500);
       List<CompletableFuture<Found>> answers = new ArrayList<>();
       List<StreamOrigin> expected = new ArrayList<>();
--- a/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/UpstreamCatalog.java
@@ -45,6 +45,7 @@
   private final Map<String, UpstreamEntry> entries = new LinkedHashMap<>();
   private final Set<LeavingUpstream> leaving = new HashSet<>();
   private final Map<String, Long> graceEndMillisById = new HashMap<>();
+  private final Map<String, Long> reportedUntilMillisById = new HashMap<>();
   private final Map<LeavingUpstream, Long> removedAtMillis = new LinkedHashMap<>();
   private long storeRegainedAtMillis = NEVER;
   private long storeRestoredAtMillis = NEVER;
@@ -95,9 +96,29 @@
    */
   public boolean put(UpstreamEntry entry) {
     graceEndMillisById.remove(entry.id());
+    reportedUntilMillisById.remove(entry.id());
     return !entry.equals(entries.put(entry.id(), entry));
   }
 
+  /**
+   * Adds an entry of which only another daemon has told. It is used for some seconds, unless the
+   * store lists or removes it before.
+   *
+   * @param entry description that the upstream published
+   * @param nowMillis monotonic time in milliseconds
+   * @return false if the upstream is known, has been removed or is shutting down
+   */
+  public boolean putReported(UpstreamEntry entry, long nowMillis) {
+    if (entries.containsKey(entry.id())
+        || isKnownToLeave(entry)
+        || removedAtMillis.containsKey(LeavingUpstream.of(entry))) {
+      return false;
+    }
+    entries.put(entry.id(), entry);
+    reportedUntilMillisById.put(entry.id(), nowMillis + ReportedUpstreams.KEEP_MILLIS);
+    return true;
+  }
+
   /**
    * Records that an instance has said that it is shutting down. It gets no new requests, whatever
    * its entry says, until another instance is listed in its place.
@@ -130,6 +151,7 @@
       return false;
     }
     graceEndMillisById.remove(id);
+    reportedUntilMillisById.remove(id);
     entries.remove(id);
     onRemoved(e, nowMillis);
     return true;
@@ -155,6 +177,7 @@
    */
   public boolean drop(String id) {
     graceEndMillisById.remove(id);
+    reportedUntilMillisById.remove(id);
     return entries.remove(id) != null;
   }
 
@@ -237,6 +260,16 @@
   }
 
   private void removeExpired(long nowMillis) {
+    reportedUntilMillisById
+        .entrySet()
+        .removeIf(
+            e -> {
+              boolean isDue = e.getValue() <= nowMillis;
+              if (isDue) {
+                entries.remove(e.getKey());
+              }
+              return isDue;
+            });
     if (graceEndMillisById.isEmpty()) {
       return;
     }
--- a/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
+++ b/core/src/test/java/org/hibiscusreel/core/forward/UpstreamCatalogTest.java
@@ -45,6 +45,38 @@
     assertThat(catalog.remove("a", LATE_MILLIS)).isFalse();
   }
 
+  /**
+   * Guards against requests to an upstream that this daemon knows to be gone, and against an entry
+   * that stays although the store does not list it.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "none, 0, true",
+    "none, 10_000, false",
+    "listed, 10_000, true",
+    "removed, 0, false",
+    "leaving, 0, false",
+    "missing, 0, false"
+  })
+  void usesReportedUpstreamUnlessMoreIsKnown(String known, String afterMillis, boolean isUsable) {
+    UpstreamEntry reported = entry("a", false);
+    if (known.equals("removed")) {
+      catalog.put(reported);
+      catalog.remove("a", LATE_MILLIS);
+    } else if (known.equals("leaving")) {
+      catalog.onLeaving(LeavingUpstream.of(reported));
+    }
+    boolean isAdded = catalog.putReported(reported, LATE_MILLIS);
+    assertThat(isAdded).isNotEqualTo(known.equals("removed") || known.equals("leaving"));
+    if (known.equals("listed")) {
+      catalog.put(reported);
+    } else if (known.equals("missing")) {
+      catalog.replaceAll(List.of(), LATE_MILLIS);
+    }
+    long now = LATE_MILLIS + Long.parseLong(afterMillis.replace("_", ""));
+    assertThat(usable(now)).hasSize(isUsable ? 1 : 0);
+  }
+
   /** Guards against requests to an upstream that left before the copy of a restored store. */
   @ParameterizedTest
   @CsvSource({"true, false, false", "false, false, false", "false, true, true"})
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -196,6 +196,7 @@
             settings.host(),
             settings.storeWritesPerSecond(),
             fleet::daemonCount,
+            loadTransport,
             decisions);
     this.paths =
         new UpstreamPaths(
@@ -470,6 +471,7 @@
       crashes.onPeers(addresses);
       holderCopies.onPeers(addresses);
       paths.onPeers(addresses);
+      origins.onPeers(addresses);
     }
 
     @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UdpLoadTransport.java
@@ -26,6 +26,7 @@
 import org.hibiscusreel.coordination.forward.HolderCopy;
 import org.hibiscusreel.coordination.forward.HolderTransport;
 import org.hibiscusreel.coordination.forward.LoadTransport;
+import org.hibiscusreel.coordination.forward.StreamTransport;
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.crash.CrashReport;
 import org.hibiscusreel.core.forward.BrittleUpstreams;
@@ -34,16 +35,19 @@
 import org.hibiscusreel.core.forward.RejectionTolerance;
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /**
- * Exchanges load reports, crash reports and copies of rows as JSON datagrams; a load report is an
- * array, a crash report an object, and rows are an object with the field {@code holders}. A load
- * report is outdated in less than a second, so retransmission over a connection would only delay
- * the next report. Used only on the thread of the event loop.
+ * Exchanges load reports, crash reports, copies of rows and reports of streams as JSON datagrams; a
+ * load report is an array, a crash report an object, and the others are objects with the field
+ * {@code holders}, which for reports of streams is an empty array. A load report is outdated in
+ * less than a second, so retransmission over a connection would only delay the next report. Used
+ * only on the thread of the event loop.
  */
-public final class UdpLoadTransport implements LoadTransport, CrashTransport, HolderTransport {
+public final class UdpLoadTransport
+    implements LoadTransport, CrashTransport, HolderTransport, StreamTransport {
 
   /**
    * Size limit of a report. A larger datagram would be fragmented into many packets, and the loss
@@ -75,7 +79,8 @@
    */
   private static final int MAX_ARRAYS = 4;
 
-  private static final String HOLDERS = "holders";
+  static final String HOLDERS = "holders";
+
   private static final int FIELDS_PER_HOLDER = 5;
 
   private static final Logger LOG = System.getLogger(UdpLoadTransport.class.getName());
@@ -87,6 +92,7 @@
   private Consumer<LoadReport> loadReceiver = r -> {};
   private Consumer<CrashReport> crashReceiver = r -> {};
   private Consumer<HolderCopy> holderReceiver = c -> {};
+  private Consumer<StreamReport> streamReceiver = r -> {};
   private boolean isReceiving;
   private boolean failureLogged;
 
@@ -145,6 +151,11 @@
     sendBytes(peers, JsonBodies.write(root));
   }
 
+  @Override
+  public void sendStreams(List<String> peers, StreamReport report) {
+    sendBytes(peers, StreamReportFormat.write(report));
+  }
+
   private static List<HolderCopy> readHolders(JsonNode holders) throws IOException {
     List<HolderCopy> copies = new ArrayList<>();
     for (JsonNode h : holders) {
@@ -368,6 +379,12 @@
     receiveNext();
   }
 
+  @Override
+  public void receiveStreams(Consumer<StreamReport> receiver) {
+    streamReceiver = receiver;
+    receiveNext();
+  }
+
   private void receiveNext() {
     if (socket == null || isReceiving) {
       return;
@@ -387,7 +404,9 @@
   private void handlePacket(UdpPacket packet) {
     try {
       JsonNode node = JsonBodies.MAPPER.readTree(packet.getBuf().asArray());
-      if (node.has(HOLDERS)) {
+      if (StreamReportFormat.isReport(node)) {
+        streamReceiver.accept(StreamReportFormat.read(node));
+      } else if (node.has(HOLDERS)) {
         readHolders(node.get(HOLDERS)).forEach(holderReceiver);
       } else if (node.isObject()) {
         crashReceiver.accept(CrashReportFormat.read(node));
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -264,6 +264,7 @@
                       "d",
                       800,
                       () -> 1,
+                      reports,
                       (e, f) -> {}),
                   new ForwardSettings("d", 0.2, 10, 2_000),
                   (e, f) -> {},
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UdpLoadTransportTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
@@ -25,8 +26,11 @@
 import org.hibiscusreel.core.forward.LeavingUpstream;
 import org.hibiscusreel.core.forward.LoadReport;
 import org.hibiscusreel.core.forward.StreamOrigin;
+import org.hibiscusreel.core.forward.StreamReport;
+import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamLimits;
 import org.hibiscusreel.daemon.loop.TestLoop;
+import org.hibiscusreel.daemon.platform.JsonBodies;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -131,6 +135,42 @@
     assertThat(rows.poll(5, TimeUnit.SECONDS)).isEqualTo(sent.get(1));
   }
 
+  private void sendRaw(String text) throws IOException {
+    try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+      s.send(new DatagramPacket(bytes, bytes.length, second));
+    }
+  }
+
+  /**
+   * Guards against a report of streams that daemons of the release before take for something else,
+   * which read the field {@code holders} of each object that has it, and against a field of a later
+   * release that makes a report unreadable.
+   */
+  @Test
+  void carriesStreamsInFormOfEarlierAndLaterReleases() throws Exception {
+    start();
+    BlockingQueue<StreamReport> reports = new LinkedBlockingQueue<>();
+    BlockingQueue<HolderCopy> rows = new LinkedBlockingQueue<>();
+    loop.run(() -> receiver.receiveStreams(reports::add));
+    loop.run(() -> receiver.receiveHolders(rows::add));
+    StreamReport sent =
+        new StreamReport(
+            List.of(
+                new StreamReport.Streams(new StreamOrigin("s", "v1"), List.of("a", "b")),
+                new StreamReport.Streams(new StreamOrigin("s", ""), List.of("c"))),
+            List.of(new UpstreamEntry("u", "s", "127.0.0.1:1", "d", false, 4, "v1", 7)));
+    loop.run(() -> sender.sendStreams(List.of("127.0.0.1:" + second.getPort()), sent));
+    assertThat(reports.poll(5, TimeUnit.SECONDS)).isEqualTo(sent);
+    JsonNode written = JsonBodies.MAPPER.readTree(StreamReportFormat.write(sent));
+    assertThat(written.get("holders")).isEmpty();
+    sendRaw(
+        "{\"holders\":[],\"streams\":[[\"s\",\"v1\",\"a\",\"b\"],[\"s\",\"\",\"c\"]],"
+            + "\"upstreams\":[[\"u\",\"s\",\"127.0.0.1:1\",\"d\",4,\"v1\",7,\"x\"]],\"later\":{}}");
+    assertThat(reports.poll(5, TimeUnit.SECONDS)).isEqualTo(sent);
+    assertThat(rows).isEmpty();
+  }
+
   /** Guards against a notice that is lost because the report has no limits or no load. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
