Leave a silent upstream only once another one has accepted the request

Cause: the silence check cancelled the attempt when another upstream seemed to have room, and the refusal of that one ended the stream, since the attempts of the route were used up. The lines of the lost streams have SILENT at the first and NOT_EXECUTED at the second upstream. The same stop without a silence loses nothing.

Now the request is sent to the other upstream as well. The first one is left when the other has begun an answer that can be used, or was reached 250 ms ago without refusing; if the first goes on before, the other attempt is closed; if the first fails, the other takes its place. A refusal counts as an attempt, since max_attempts is the number of upstreams to which a request may be sent.

Two builds: nothing that daemons send each other or store has changed.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -53,6 +53,13 @@
   /** Default retry advice in milliseconds for a request that did not run. */
   static final long RETRY_AFTER_MILLIS = 300;
 
+  /**
+   * Time in milliseconds after which an upstream that was reached and has not refused a request has
+   * accepted it, since refusals come at once. Two upstreams may work on one stream for 400 ms at
+   * most.
+   */
+  static final long ACCEPTANCE_MILLIS = 250;
+
   /**
    * Delay in milliseconds after which it is known whether an upstream that broke off a request has
    * ended or goes on answering others.
@@ -91,6 +98,8 @@
   private Optional<StreamOrigin> origin = Optional.empty();
   private boolean isOriginUnknown;
   private boolean hasCaughtUp;
+  private Optional<Successor> successor = Optional.empty();
+  private boolean isMovePaid; // a retry was taken for a move that reached no upstream
   private long eventsDelivered;
   private long firstEventAtMillis;
 
@@ -366,30 +375,33 @@
       endWithoutUpstream();
       return;
     }
-    UpstreamEntry upstream = choice.get().candidate().entry();
-    triedUpstreams.add(upstream.id());
-    sentAttempts++;
     suspectSinceMillis = 0;
-    UpstreamTransport.UpstreamRequest outgoing =
-        new UpstreamTransport.UpstreamRequest(
-            request,
-            account.map(AccountSettings::name).orElse(""),
-            remainingMillis(),
-            account.map(a -> a.priority().orElse(route.priority())).orElse(route.priority()),
-            streamPosition.map(StreamPosition::lastEventId).orElse(""));
+    attempt = newAttempt(choice.get(), this);
+    attempt.start(outgoing());
+  }
+
+  private UpstreamTransport.UpstreamRequest outgoing() {
+    return new UpstreamTransport.UpstreamRequest(
+        request,
+        account.map(AccountSettings::name).orElse(""),
+        remainingMillis(),
+        account.map(a -> a.priority().orElse(route.priority())).orElse(route.priority()),
+        streamPosition.map(StreamPosition::lastEventId).orElse(""));
+  }
+
+  private ForwardAttempt newAttempt(UpstreamSelector.Choice choice, ForwardAttempt.Owner owner) {
+    triedUpstreams.add(choice.candidate().entry().id());
+    sentAttempts++;
     request
         .prompt()
         .ifPresent(
             p ->
                 choice
-                    .get()
                     .candidate()
                     .load()
                     .prefixCache()
                     .recordPrompt(p, service.cacheCapacityTokens()));
-    attempt =
-        new ForwardAttempt(forwarder, this, route, this::traits, choice.get(), streamPosition);
-    attempt.start(outgoing);
+    return new ForwardAttempt(forwarder, owner, route, this::traits, choice, streamPosition);
   }
 
   private Optional<UpstreamSelector.Choice> chooseUpstream() {
@@ -502,6 +514,24 @@
             && attempt.progress() == AttemptProgress.STARTED
             && forwarder.crashes().hasCrashed(upstream);
     recordAttemptResult(outcome + " " + reason);
+    uncountUnsent(outcome, upstream);
+    mayHaveRun |= outcome.mayHaveRun();
+    if (successor.isPresent() && !mayBeCause) {
+      successor.get().promote();
+      return;
+    }
+    withdrawSuccessor("not needed");
+    if (mayBeCause && streamPosition.isEmpty()) {
+      forwarder
+          .scheduler()
+          .schedule(CRASH_CHECK_MILLIS, () -> retryUnlessCrashed(upstream, outcome, reason));
+    } else if (!retry(outcome)) {
+      endUnserved(outcome + " " + reason);
+    }
+  }
+
+  /** Takes an attempt back from the count if it has reached no upstream. */
+  private void uncountUnsent(AttemptOutcome outcome, UpstreamEntry upstream) {
     if (!outcome.wasSent()) {
       sentAttempts--;
       unsentAttempts++;
@@ -512,14 +542,6 @@
       triedUpstreams.removeAll(unreachedUpstreams);
       unreachedUpstreams.clear();
     }
-    mayHaveRun |= outcome.mayHaveRun();
-    if (mayBeCause && streamPosition.isEmpty()) {
-      forwarder
-          .scheduler()
-          .schedule(CRASH_CHECK_MILLIS, () -> retryUnlessCrashed(upstream, outcome, reason));
-    } else if (!retry(outcome)) {
-      endUnserved(outcome + " " + reason);
-    }
   }
 
   /** A request that was started last when its upstream ended is not sent to another one. */
@@ -530,10 +552,153 @@
   }
 
   @Override
-  public boolean canMove() {
-    return mayRetry(AttemptOutcome.SILENT, RetryBudget::hasRetry)
-        && (streamPosition.isPresent() || forwarder.crashes().isClear(this::traits))
-        && chooseUpstream().filter(this::isHealthy).isPresent();
+  public boolean move() {
+    if (successor.isPresent()
+        || unsentAttempts >= AttemptPolicy.MAX_UNSENT_ATTEMPTS
+        || !mayRetry(AttemptOutcome.SILENT, b -> isMovePaid || b.hasRetry())
+        || !isFreeToMove()) {
+      return false;
+    }
+    Optional<UpstreamSelector.Choice> choice = chooseUpstream().filter(this::isHealthy);
+    if (choice.isEmpty() || !(isMovePaid || forwarder.retryBudget(service.name()).tryRetry())) {
+      return false;
+    }
+    isMovePaid = false;
+    Successor s = new Successor(attempt);
+    successor = Optional.of(s);
+    s.start(choice.get());
+    return successor.isPresent();
+  }
+
+  private boolean isFreeToMove() {
+    return streamPosition.isPresent()
+        ? forwarder.crashes().admitResumed(this::traits) instanceof UpstreamCrashes.Admission.Free
+        : forwarder.crashes().isClear(this::traits);
+  }
+
+  @Override
+  public void onSilenceEnded() {
+    withdrawSuccessor("the earlier upstream went on");
+  }
+
+  private void withdrawSuccessor(String reason) {
+    successor.ifPresent(s -> s.withdraw(reason));
+  }
+
+  /**
+   * Attempt at another upstream while an earlier one is silent. The earlier one is given up only
+   * once this one is accepted: a sound upstream may go on after a silence, and this one may be
+   * full.
+   */
+  private final class Successor implements ForwardAttempt.Owner {
+
+    private final ForwardAttempt earlier;
+    private ForwardAttempt own;
+    private Cancellable acceptance = () -> {};
+    private boolean isPromoted;
+
+    Successor(ForwardAttempt earlier) {
+      this.earlier = earlier;
+    }
+
+    void start(UpstreamSelector.Choice choice) {
+      own = newAttempt(choice, this);
+      own.start(outgoing());
+    }
+
+    @Override
+    public void onConnected() {
+      acceptance = forwarder.scheduler().schedule(ACCEPTANCE_MILLIS, this::onAccepted);
+    }
+
+    @Override
+    public void onAccepted() {
+      if (!isPromoted) {
+        mayHaveRun = true;
+        earlier.cancel();
+        recordAttemptResult("SILENT, another upstream has accepted the request");
+        promote();
+      }
+    }
+
+    /** Takes the place of the earlier attempt, which has ended. */
+    void promote() {
+      isPromoted = true;
+      acceptance.cancel();
+      successor = Optional.empty();
+      attempt = own;
+    }
+
+    /** Ends this attempt, since the earlier one goes on or the request has ended. */
+    void withdraw(String reason) {
+      mayHaveRun = true;
+      own.cancel();
+      recordResult(own, reason);
+      end();
+    }
+
+    private void end() {
+      acceptance.cancel();
+      successor = Optional.empty();
+    }
+
+    @Override
+    public void onFullResponse(int status, List<HeaderField> fields, byte[] body) {
+      if (!isPromoted && (streamPosition.isPresent() || status >= STATUS_SERVER_ERROR)) {
+        onRefused(AttemptOutcome.FAILED, "status " + status);
+      } else {
+        onAccepted();
+        ForwardTask.this.onFullResponse(status, fields, body);
+      }
+    }
+
+    @Override
+    public void onFailed(AttemptOutcome outcome, String reason) {
+      if (isPromoted) {
+        ForwardTask.this.onFailed(outcome, reason);
+      } else {
+        onRefused(outcome, reason);
+      }
+    }
+
+    private void onRefused(AttemptOutcome outcome, String reason) {
+      recordResult(own, outcome + " " + reason);
+      uncountUnsent(outcome, own.upstream());
+      mayHaveRun |= outcome.mayHaveRun();
+      isMovePaid = !outcome.wasSent();
+      end();
+      earlier.onMoveFailed();
+    }
+
+    @Override
+    public void onStreamBegin(int status, List<HeaderField> fields) {
+      ForwardTask.this.onStreamBegin(status, fields);
+    }
+
+    @Override
+    public boolean onEvent(String id, byte[] bytes) {
+      return ForwardTask.this.onEvent(id, bytes);
+    }
+
+    @Override
+    public boolean isPinned() {
+      return ForwardTask.this.isPinned();
+    }
+
+    @Override
+    public void onStreamComplete() {
+      ForwardTask.this.onStreamComplete();
+    }
+
+    @Override
+    public boolean move() {
+      return isPromoted && ForwardTask.this.move();
+    }
+
+    @Override
+    public void onSilenceEnded() {
+      ForwardTask.this.onSilenceEnded();
+    }
   }
 
   private boolean isHealthy(UpstreamSelector.Choice choice) {
@@ -564,13 +729,17 @@
   }
 
   private void recordAttemptResult(String result) {
-    long after = forwarder.scheduler().nowMillis() - arrivalMillis;
-    String via = attempt.relay().map(r -> " via " + r).orElse("");
-    attempts.add(attempt.upstream().id(), after, result + via, attempt.progress());
+    recordResult(attempt, result);
     attempt = null;
     releaseSuspect();
   }
 
+  private void recordResult(ForwardAttempt ended, String result) {
+    long after = forwarder.scheduler().nowMillis() - arrivalMillis;
+    String via = ended.relay().map(r -> " via " + r).orElse("");
+    attempts.add(ended.upstream().id(), after, result + via, ended.progress());
+  }
+
   private void releaseSuspect() {
     suspect.ifPresent(forwarder.crashes()::release);
     suspect = Optional.empty();
@@ -656,6 +825,7 @@
   }
 
   private void finish(String outcome, boolean wasServed) {
+    withdrawSuccessor("not needed");
     ended = true;
     timer.cancel();
     logRequest(outcome, settle());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/UpstreamTransport.java
@@ -28,6 +28,12 @@
   /** Receives the response to a request. */
   interface Listener {
 
+    /**
+     * Called when a connection of this host to the upstream is open, over which the request is sent
+     * at once. Not called for a request that another daemon relays.
+     */
+    default void onConnected() {}
+
     /**
      * Called when the header of a response from the upstream arrived, before any other call.
      *
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -49,7 +49,17 @@
             upstream,
             request,
             dialect.headerFields(upstream, request),
-            (response, body) -> onResponse(response, request, sink, body),
+            new UpstreamCall.Listener() {
+              @Override
+              public void onConnected() {
+                listener.onConnected();
+              }
+
+              @Override
+              public void onResponse(HttpResponse response, ResponseBodyReader body) {
+                HttpUpstreamTransport.this.onResponse(response, request, sink, body);
+              }
+            },
             sink);
     call.start();
     return call;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/UpstreamCall.java
@@ -28,6 +28,9 @@
   /** Receives the first response. */
   interface Listener {
 
+    /** Called when a connection to the upstream itself is open. */
+    default void onConnected() {}
+
     /**
      * Called with the response of the upstream.
      *
@@ -74,7 +77,11 @@
 
   private void sendDirectly() {
     AsyncHttpClient.Exchange exchange = open(upstream.address(), List.of());
-    exchange.onConnected(paths::onConnected);
+    exchange.onConnected(
+        () -> {
+          paths.onConnected();
+          listener.onConnected();
+        });
     ResponseBodyReader reader = read(exchange);
     exchange
         .response()
