Take many crashes at the same time for evidence against what they share

Cause: crashes within half a second count as one episode, below suspicion, however many upstreams end in it, and a request that ended an upstream was sent to another one, since only a crash after the head held it back.

Now four crashes or more in an episode, before their answers began, weigh as two single ones: what they share is under suspicion, and one further crash blocks it. A request under suspicion whose upstream ends is not sent on.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -511,7 +511,7 @@
     final UpstreamEntry upstream = attempt.upstream();
     final boolean mayBeCause =
         outcome == AttemptOutcome.BROKEN
-            && attempt.progress() == AttemptProgress.STARTED
+            && (suspect.isPresent() || attempt.progress() == AttemptProgress.STARTED)
             && forwarder.crashes().hasCrashed(upstream);
     recordAttemptResult(outcome + " " + reason);
     uncountUnsent(outcome, upstream);
@@ -544,7 +544,10 @@
     }
   }
 
-  /** A request that was started last when its upstream ended is not sent to another one. */
+  /**
+   * A request that was started last when its upstream ended, or that was under suspicion, is not
+   * sent to another one.
+   */
   private void retryUnlessCrashed(UpstreamEntry upstream, AttemptOutcome outcome, String reason) {
     if (!ended && (forwarder.crashes().hasCrashed(upstream) || !retry(outcome))) {
       endUnserved(outcome + " " + reason);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamCrashesTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/UpstreamCrashesTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class UpstreamCrashesTest {
@@ -118,6 +119,59 @@
     assertThat(s.blamedSound).isZero();
   }
 
+  /**
+   * Guards against a part whose requests come at the same time, so that the upstreams that they
+   * crash are taken for victims of one accident, and against repeats that crash further ones.
+   */
+  @ParameterizedTest
+  @CsvSource({"4, 0", "4, 300", "6, 100", "8, 0"})
+  void stopsPartWhoseRequestsComeAtTheSameTime(int atOnce, long spreadMillis) {
+    for (long seed = 1; seed <= 10; seed++) {
+      CrashSimulation s =
+          new CrashSimulation(seed, 0, 3, 14, CrashSimulation.CrashPoint.BEFORE_HEAD);
+      s.run(2_000);
+      serveAtTheSameTime(s, atOnce, spreadMillis);
+      s.run(4_500);
+      assertThat(s.crashesByRequest).hasSizeGreaterThanOrEqualTo(ALLOWED_CRASHES - 1);
+      final int before = s.arrivals.size();
+      serveAtTheSameTime(s, atOnce, 0);
+      s.run(3_000);
+      serveAtTheSameTime(s, atOnce, spreadMillis);
+      s.run(1_000);
+      assertThat(s.arrivals.size() - before)
+          .as("seed " + seed)
+          .isLessThanOrEqualTo(ALLOWED_ARRIVALS);
+    }
+  }
+
+  private static void serveAtTheSameTime(CrashSimulation s, int requests, long spreadMillis) {
+    for (int i = 0; i < requests; i++) {
+      s.serve("d" + i % 3, "common", CrashSimulation.DEADLY, "own" + s.random.nextLong());
+      s.run(spreadMillis / requests);
+    }
+  }
+
+  /** Guards against sound requests that are refused after many upstreams lost power together. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void servesCommonPartsAfterManyUpstreamsEndTogether(long seed) {
+    CrashSimulation s =
+        new CrashSimulation(seed, 0.2, 6, 10, CrashSimulation.CrashPoint.BEFORE_HEAD);
+    s.run(2_000);
+    for (int step = 0; step < 1_000; step++) {
+      String part = s.random.nextBoolean() ? "common" : "rare" + s.random.nextInt(10);
+      s.serve("d" + s.random.nextInt(6), "shared", part, "own" + step);
+      if (step % 250 == 100 || step % 250 == 150) {
+        s.endSome(4 + s.random.nextInt(3));
+      }
+      s.run(20);
+    }
+    s.run(2_000);
+    assertThat(s.blamedSound).isZero();
+    assertThat(s.daemons.values()).allMatch(d -> d.crashes.blockCount() == 0);
+    assertThat(s.completedSound).isGreaterThan(1_000 * 9 / 10);
+  }
+
   /**
    * Guards against sound parts that are blocked because the streams with them were broken off by
    * upstreams that ended, or by connections that were reset, for other reasons.
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashDetector.java
@@ -294,21 +294,24 @@
     return list.size() >= explained.size() + OUTWEIGHING_CRASHES && list.containsAll(explained);
   }
 
-  /** Returns the sum of the evidence of episodes, each of which counts as its strongest crash. */
+  /** Returns the sum of the weights of the episodes in which upstreams crashed. */
   private int evidence(List<Crash> list, String trait) {
     int sum = 0;
-    int strongest = 0;
+    int weight = 0;
+    int unanswered = 0;
     long endsAtMillis = Long.MIN_VALUE;
     for (Crash c : list.stream().sorted(Comparator.comparingLong(Crash::atMillis)).toList()) {
       AttemptProgress progress = c.progress(trait).orElseThrow();
       if (c.atMillis() >= endsAtMillis) {
-        sum += strongest;
-        strongest = 0;
+        sum += weight;
+        weight = 0;
+        unanswered = 0;
         endsAtMillis = c.atMillis() + policy.episodeMillis(progress);
       }
-      strongest = Math.max(strongest, CrashPolicy.weight(progress));
+      unanswered += progress.isAnswering() ? 0 : 1;
+      weight = Math.max(weight, CrashPolicy.episodeWeight(progress, unanswered));
     }
-    return sum + strongest;
+    return sum + weight;
   }
 
   private Set<String> commonTraits(List<Crash> list) {
--- a/core/src/main/java/org/hibiscusreel/core/crash/CrashPolicy.java
+++ b/core/src/main/java/org/hibiscusreel/core/crash/CrashPolicy.java
@@ -4,7 +4,8 @@
 
 /**
  * How much evidence leads to a verdict. Crashes of several upstreams within one episode count once,
- * since they may have a common cause outside of the requests.
+ * since they may have a common cause outside of the requests. If so many upstreams crash within one
+ * that hardly all of them had requests with a trait by chance, it counts more.
  *
  * @param blockingEvidence sum of the weights of episodes from which a trait may be blocked
  * @param suspicionEvidence sum of the weights of episodes from which a trait is suspected
@@ -28,6 +29,12 @@
   private static final int WAITING_WEIGHT = 4;
   private static final int ANSWERING_WEIGHT = 3;
 
+  /** Number of crashes from which an episode has a weight of its own. */
+  private static final int MANY_CRASHES = 4;
+
+  /** With one further crash it is enough to block a trait. */
+  private static final int MANY_CRASHES_WEIGHT = 2 * STARTED_WEIGHT - WAITING_WEIGHT;
+
   /** For requests that are known by a fingerprint of their whole content only. */
   public static final CrashPolicy WHOLE_REQUESTS =
       new CrashPolicy(2 * WAITING_WEIGHT, WAITING_WEIGHT, 0, 0, false, 1_000);
@@ -53,11 +60,23 @@
    * @param progress how far the upstream had got with the request
    * @return the weight
    */
-  public static int weight(AttemptProgress progress) {
+  static int weight(AttemptProgress progress) {
     return switch (progress) {
       case STARTED -> STARTED_WEIGHT;
       case WAITING -> WAITING_WEIGHT;
       case ANSWERING -> ANSWERING_WEIGHT;
     };
   }
+
+  /**
+   * Returns the weight of an episode.
+   *
+   * @param strongest how far the upstream had got with the request at the crash that tells most
+   * @param unanswered number of upstreams that crashed before a request with the trait was answered
+   * @return the weight
+   */
+  public static int episodeWeight(AttemptProgress strongest, int unanswered) {
+    int weight = weight(strongest);
+    return unanswered >= MANY_CRASHES ? Math.max(weight, MANY_CRASHES_WEIGHT) : weight;
+  }
 }
