Leave a silent upstream only for an event of the next one, not for a head

Callers could still see a stream cut although its silent upstream went on: where the next upstream began its answer with 200 and then sent an event without an identifier, only events that the caller had, or nothing, the first one had been given up at the head.

Cause: the head of an answer was taken for acceptance. It promises no event that can be used.

Now the first upstream is left when the other one sends its first event that continues the stream, or its whole answer, or was reached 250 ms ago without refusing, as before. Two upstreams work on a stream for no longer than before.

Before: cases "begun unnamed", "begun repeated" and "begun broken" of keepsStreamThatNoOtherUpstreamAccepts red, and four of seven orders of endsOneOfTwoAttempts. Two tests demanded the fault: they expected the cancellation at the head. In their place the first attempt must stay after the head and end at the event, and an upstream that goes on between the two keeps the stream. Now: MovedStreamsTest, ForwarderTest and IsolatedHostTest green.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -69,9 +69,6 @@
     /** Called when a connection to the upstream is open. */
     default void onConnected() {}
 
-    /** Called when the upstream has begun to answer with a success. */
-    default void onAccepted() {}
-
     /**
      * Sends the request to another upstream as well, since this one is silent. This attempt is
      * cancelled once the other upstream has accepted the request, and goes on otherwise.
@@ -213,8 +210,6 @@
     if (isStream() && resumedAfter.filter(p -> !p.isContinuedBy(headFields)).isPresent()) {
       exchange.cancel();
       fail(AttemptOutcome.BROKEN, "another content type in the resumed stream");
-    } else if (status == STATUS_OK) {
-      owner.onAccepted();
     }
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -54,9 +54,9 @@
   static final long RETRY_AFTER_MILLIS = 300;
 
   /**
-   * Time in milliseconds after which an upstream that was reached and has not refused a request has
-   * accepted it, since refusals come at once. Two upstreams may work on one stream for 400 ms at
-   * most.
+   * Time in milliseconds after which an upstream that was reached and has not refused a request
+   * counts as one that has accepted it, since refusals come at once. Two upstreams may work on one
+   * stream for 400 ms at most.
    */
   static final long ACCEPTANCE_MILLIS = 250;
 
@@ -611,11 +611,11 @@
 
     @Override
     public void onConnected() {
-      acceptance = forwarder.scheduler().schedule(ACCEPTANCE_MILLIS, this::onAccepted);
+      acceptance = forwarder.scheduler().schedule(ACCEPTANCE_MILLIS, this::accept);
     }
 
-    @Override
-    public void onAccepted() {
+    /** Gives the earlier attempt up for this one. */
+    private void accept() {
       if (!isPromoted) {
         mayHaveRun = true;
         earlier.cancel();
@@ -650,7 +650,7 @@
       if (!isPromoted && (streamPosition.isPresent() || status >= STATUS_SERVER_ERROR)) {
         onRefused(AttemptOutcome.FAILED, "status " + status);
       } else {
-        onAccepted();
+        accept();
         ForwardTask.this.onFullResponse(status, fields, body);
       }
     }
@@ -675,6 +675,7 @@
 
     @Override
     public void onStreamBegin(int status, List<HeaderField> fields) {
+      accept();
       ForwardTask.this.onStreamBegin(status, fields);
     }
 
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -522,9 +522,16 @@
       h.last().head(200);
       h.last().event(1);
     }
-    h.scheduler.run(900);
-    assertThat(h.sent).hasSize(2);
+    while (h.sent.size() < 2) {
+      h.scheduler.run(1);
+    }
     h.last().head(200);
+    assertThat(h.sent.get(0).cancelled).isFalse();
+    if (streamed) {
+      h.last().event(2);
+    } else {
+      h.last().listener.onEnd();
+    }
     assertThat(h.sent.get(0).cancelled).isTrue();
     h.scheduler.run(900);
     assertThat(h.sent.stream().filter(s -> !s.cancelled)).hasSizeLessThanOrEqualTo(2);
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/MovedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/MovedStreamsTest.java
@@ -22,9 +22,22 @@
   /** Time after the first event after which a stream is sent to another upstream as well. */
   private static final long MOVE_MILLIS = 600;
 
-  /** Lets the next upstream answer with a status, a content type or an outcome. */
+  /**
+   * Lets the next upstream answer with a status, a content type or an outcome, or begin a stream
+   * that can't be used.
+   */
   private static void answer(String next, ForwardHarness.Sent sent) {
-    if (next.matches("\\d+")) {
+    if (next.startsWith("begun ")) {
+      sent.head(200);
+      switch (next) {
+        case "begun unnamed" -> sent.bytes("data: internal error\n\n");
+        case "begun repeated" -> {
+          sent.event(1);
+          sent.listener.onEnd();
+        }
+        default -> sent.fail(AttemptOutcome.BROKEN);
+      }
+    } else if (next.matches("\\d+")) {
       sent.respond(Integer.parseInt(next), "");
     } else if (next.contains("/")) {
       sent.listener.onHead(200, List.of(new HeaderField("Content-Type", next)));
@@ -50,6 +63,9 @@
     "500, 2",
     "404, 2",
     "text/plain, 2",
+    "begun unnamed, 2",
+    "begun repeated, 2",
+    "begun broken, 2",
     "NOT_EXECUTED, 3",
     "BROKEN, 3"
   })
@@ -81,14 +97,17 @@
   /** Guards against two upstreams that go on with one stream at the same time. */
   @ParameterizedTest
   @CsvSource({
-    // head after, or 0; the earlier one goes on after, or 0; cancelled attempt, and after
-    "20, 0, 0, 20",
-    "0, 0, 0, 251",
-    "0, 40, 1, 40",
-    "100, 40, 1, 40",
-    "20, 40, 0, 20"
+    // head and event after, or 0; the earlier one goes on after, or 0; cancelled attempt, and after
+    "20, 40, 0, 0, 40",
+    "20, 0, 0, 0, 251",
+    "0, 0, 0, 0, 251",
+    "0, 0, 40, 1, 40",
+    "100, 0, 40, 1, 40",
+    "20, 60, 40, 1, 40",
+    "20, 30, 40, 0, 30"
   })
-  void endsOneOfTwoAttempts(long headMillis, long goesOnMillis, int ended, long endedMillis) {
+  void endsOneOfTwoAttempts(
+      long headMillis, long eventMillis, long goesOnMillis, int ended, long endedMillis) {
     ForwardHarness h = streamAtSilentUpstream(2, 2);
     while (h.sent.size() < 2) {
       h.scheduler.run(1);
@@ -96,6 +115,9 @@
     if (headMillis > 0) {
       h.scheduler.schedule(headMillis, () -> head(h.sent.get(1)));
     }
+    if (eventMillis > 0) {
+      h.scheduler.schedule(eventMillis, () -> event(h.sent.get(1), 2));
+    }
     if (goesOnMillis > 0) {
       h.scheduler.schedule(goesOnMillis, () -> event(h.sent.get(0), 2));
     }
