Wait at a planned stop for answers that callers still read

A caller that read its answer of 4,000,000 bytes from 3.5 s after SIGTERM on got 3,899,255 of them and the end of its connection, although the grace period is 8 s.

Cause: the stop waits for the forwarder's requests. A request ends there when its answer has been handed to the HTTP library, which may still be writing it.

Now a connection whose response is being sent counts as in progress, up to the end of the grace period, and the line "stopped" has the number of those that are left.

Before: case 3,500 of deliversAnswersThatAreBeingReadWhileItStops red, case 500 green. Now: both green, with the other cases of PlatformProcessTest.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -359,7 +359,8 @@
   }
 
   /**
-   * Stops after the requests in progress have finished or the grace period is nearly over.
+   * Stops after the requests in progress have finished and their responses were sent, or when the
+   * grace period is nearly over.
    *
    * @return completes when the process may exit
    */
@@ -384,14 +385,23 @@
   }
 
   private void awaitRequests(long exitAt) {
-    boolean isIdle = forwarder.inProgress() == 0 && relay.connectionCount() == 0;
+    boolean isIdle =
+        forwarder.inProgress() == 0
+            && server.respondingCount() == 0
+            && relay.connectionCount() == 0;
     if (!isIdle && scheduler.nowMillis() < exitAt) {
       scheduler.schedule(DRAIN_POLL_INTERVAL_MILLIS, () -> awaitRequests(exitAt));
       return;
     }
     decisions.record(
         "stopped",
-        Map.of("unfinished", forwarder.inProgress(), "relayed", relay.connectionCount()));
+        Map.of(
+            "unfinished",
+            forwarder.inProgress(),
+            "responding",
+            server.respondingCount(),
+            "relayed",
+            relay.connectionCount()));
     forwarder.endAll();
     scheduler.schedule(LAST_ANSWERS_MILLIS, this::stopServices);
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -136,6 +136,16 @@
     return connections.count();
   }
 
+  /**
+   * Returns the number of responses that are being sent. A response may be on its way long after
+   * its request was served, since callers read at their own speed.
+   *
+   * @return 0 or more
+   */
+  public int respondingCount() {
+    return connections.respondingCount();
+  }
+
   private Promise<HttpResponse> serve(HttpRequest request) {
     CallerConnections.TrackedConnection connection = connections.connectionOf(request);
     CallerResponseWriter answer =
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -285,6 +285,16 @@
     return entries.size();
   }
 
+  /**
+   * Returns the number of connections on which a response is being sent. A response counts until
+   * its last byte was handed to the operating system.
+   *
+   * @return 0 or more
+   */
+  public int respondingCount() {
+    return (int) entries.values().stream().filter(e -> e.isResponding || e.isStreamed).count();
+  }
+
   /** Starts the periodic check for callers that are too slow. */
   public void start() {
     timer = scheduler.schedule(CHECK_INTERVAL_MILLIS, this::closeExpired);
