Charge output of unknown size at its most

Cause: the charge was the number of events times the tokens of one, which was 0 where the configuration does not declare it, and for a service that is not configured. An answer that is no stream was charged its prompt only. What was not known was free.

Now such output is charged with the limit that its caller has set, once any of it was delivered. Requests at services with declared events are charged as before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -68,6 +68,7 @@
 
   private static final Logger LOGGER = System.getLogger(ForwardTask.class.getName());
   private static final String CRASHES_UPSTREAMS = "requests like this one crash upstreams";
+  private static final int STATUS_REDIRECTION = 300;
   private static final int STATUS_SERVER_ERROR = 500;
 
   private final Forwarder forwarder;
@@ -101,6 +102,7 @@
   private Optional<Successor> successor = Optional.empty();
   private boolean isMovePaid; // a retry was taken for a move that reached no upstream
   private long eventsDelivered;
+  private boolean isAnswerDelivered; // an answer that is no stream, and a success
   private long firstEventAtMillis;
 
   ForwardTask(
@@ -456,6 +458,7 @@
       endUnserved("the resumed stream got status " + status);
       return;
     }
+    isAnswerDelivered = status < STATUS_REDIRECTION;
     caller.respond(status, fields, body);
     finish("status " + status, true);
   }
@@ -837,7 +840,7 @@
   }
 
   /**
-   * Charges the prompt if an upstream may have processed it, and the delivered events.
+   * Charges the prompt if an upstream may have processed it, and the delivered output.
    *
    * @return charged tokens
    */
@@ -847,12 +850,21 @@
     }
     reserved = false;
     PromptShape p = request.prompt().orElseThrow();
-    long output = Math.min(p.maxOutputTokens(), eventsDelivered * service.tokensPerEvent());
-    long used = promptProcessed || mayHaveRun ? p.promptTokens() + output : 0;
+    long used = promptProcessed || mayHaveRun ? p.promptTokens() + outputTokens(p) : 0;
     forwarder.budgets().settle(account.orElseThrow().name(), p.worstCaseTokens(), used);
     return used;
   }
 
+  /** Returns the tokens of the delivered output, at their most if their number is not known. */
+  private long outputTokens(PromptShape prompt) {
+    boolean hasOutput = eventsDelivered > 0 || isAnswerDelivered;
+    boolean isCounted = !isAnswerDelivered && service.tokensPerEvent() > 0;
+    if (hasOutput && !isCounted) {
+      return prompt.maxOutputTokens();
+    }
+    return Math.min(prompt.maxOutputTokens(), eventsDelivered * service.tokensPerEvent());
+  }
+
   private void logRequest(String outcome, long charged) {
     long now = forwarder.scheduler().nowMillis();
     Map<String, Object> fields = new LinkedHashMap<>();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -34,6 +34,7 @@
 final class ForwardHarness implements FleetView, UpstreamTransport {
 
   static final String ACCOUNT = "acme";
+  static final int TOKENS_PER_EVENT = 5;
   static final long PREPAID_TOKENS = 10_000;
   static final long TIMEOUT_MILLIS = 2_000;
   static final long TARGET_MILLIS = 200;
@@ -213,17 +214,25 @@
             List.of(new WeightedService("s", 1)),
             terms.maxAttempts(),
             false);
+    this.current = tableOf(route, List.of(new ForwardService("s", 10, 4, 0, TOKENS_PER_EVENT)));
+    budgets.updateAccounts(current.accounts());
+  }
+
+  private static ForwardingTable tableOf(Route route, List<ForwardService> services) {
     AccountSettings account =
         new AccountSettings(ACCOUNT, OptionalInt.empty(), OptionalLong.of(PREPAID_TOKENS));
-    this.current =
-        new ForwardingTable(
-            7,
-            new CallerLimits(1, 1, 1),
-            List.of(route),
-            List.of(new ForwardService("s", 10, 4, 0, 5)),
-            List.of(account),
-            Map.of("key", ACCOUNT));
-    budgets.updateAccounts(current.accounts());
+    return new ForwardingTable(
+        7,
+        new CallerLimits(1, 1, 1),
+        List.of(route),
+        services,
+        List.of(account),
+        Map.of("key", ACCOUNT));
+  }
+
+  /** Replaces the configured services. */
+  void setServices(List<ForwardService> services) {
+    current = tableOf(current.route("h", "/a/").orElseThrow(), services);
   }
 
   Forwarder.Handle serve(CallerRequest request) {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwarderTest.java
@@ -10,14 +10,17 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.hibiscusreel.core.forward.AccountSettings;
 import org.hibiscusreel.core.forward.AttemptOutcome;
 import org.hibiscusreel.core.forward.CallerLimits;
+import org.hibiscusreel.core.forward.ForwardService;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -587,6 +590,39 @@
     assertThat(spentAfterStop(h)).isEqualTo(1_000 + 2 * 5);
   }
 
+  /**
+   * Guards against output that is free since it is not known how many tokens it has: that of a
+   * plain service or of one that is not configured, and answers that are no streams.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    // tokens per event, -1 without the service; streamed; status; events; charged output
+    "0, true, 200, 2, 500",
+    "-1, true, 200, 1, 500",
+    "0, true, 200, 0, 0",
+    "5, true, 200, 0, 0",
+    "5, true, 200, 2, 10",
+    "5, true, 200, 200, 500",
+    "5, false, 200, 0, 500",
+    "0, false, 200, 0, 500",
+    "5, false, 404, 0, 0",
+    "5, true, 404, 0, 0"
+  })
+  void chargesOutputOfUnknownSizeAtItsMost(
+      int tokensPerEvent, boolean streamed, int status, int events, long charged) {
+    ForwardHarness h = new ForwardHarness(RetryPolicy.ONCE, streamed, 1, 1);
+    h.setServices(
+        tokensPerEvent < 0
+            ? List.of()
+            : List.of(new ForwardService("s", 10, 4, 0, tokensPerEvent)));
+    h.serve(ForwardHarness.prompt(1_000, 500));
+    h.last().head(status);
+    IntStream.rangeClosed(1, events).forEach(h.last()::event);
+    h.last().listener.onEnd();
+    assertThat(h.logLines.get(h.logLines.size() - 1))
+        .containsEntry("charged_tokens", 1_000 + charged);
+  }
+
   @Test
   void chargesNothingForRequestThatDidNotRun() {
     ForwardHarness h = stream(RetryPolicy.ONCE);
