Read no more than 1 MB of changes at once, and all rows otherwise

Cause: the feed sends each version of a row. An answer to a poll was read up to 16 MB, and held as bytes, as a JSON tree and as decoded rows in a heap of 48 MB, while further polls from the same position had the same answer.

Now an answer to a poll is read up to 1 MB. Beyond it all rows are read, which has the newest version of each only. The line "too_many_changes" tells. The stand-in of the store sends each version, too.

Two builds: nothing that daemons send each other or store has changed.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -220,6 +220,10 @@
       log.record("history_lost", Map.of("table", table, "position", position));
       // After an unconfirmed read, the store still answers reads from before the lost history.
       scheduleCall(isConfirmed ? 0 : readPauseMillis());
+    } else if (result instanceof ChangeFeed.Result.TooManyChanges) {
+      prefersFullRead = true;
+      log.record("too_many_changes", Map.of("table", table, "position", position));
+      scheduleCall(0);
     } else if (result instanceof ChangeFeed.Result.Changes c) {
       onRows(call, c);
     }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/port/ChangeFeed.java
@@ -33,6 +33,12 @@
     /** The change history after the position was discarded, so all rows must be read again. */
     record HistoryLost() implements Result {}
 
+    /**
+     * The changes after the position are too many to be received at once, so all rows should be
+     * read again, each in its newest version only.
+     */
+    record TooManyChanges() implements Result {}
+
     /**
      * The call failed without a response.
      *
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FeedFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FeedFollowerTest.java
@@ -24,6 +24,9 @@
   /** Longest time that a call of the feed may take; it fails afterwards. */
   private static final long CALL_TIMEOUT_MILLIS = 10_000;
 
+  /** Most versions of the row that an answer to a poll holds. */
+  private static final int MAX_CHANGES = 3;
+
   private final VirtualScheduler scheduler = new VirtualScheduler();
 
   /** A row with a counter, behind links and a store that fail at random. */
@@ -121,7 +124,9 @@
         for (int i = (int) position + 1; i <= newest(); i++) {
           changes.add(row(i));
         }
-        respond(call, new Result.Changes(changes, newest()));
+        boolean isTooLarge = changes.size() > MAX_CHANGES;
+        respond(
+            call, isTooLarge ? new Result.TooManyChanges() : new Result.Changes(changes, newest()));
       } else {
         scheduler.schedule(10, () -> waitForChange(call, position, untilMillis));
       }
@@ -223,6 +228,25 @@
     assertThat(last).isCompletedWithValue(true);
   }
 
+  /** Guards against a follower that asks again and again for more versions than it can receive. */
+  @Test
+  void readsAllRowsOnceTooManyChangesCame() {
+    FaultyStore store = new FaultyStore(1);
+    Known known = new Known();
+    FeedFollower follower = new FeedFollower(store, TABLE, scheduler, (e, f) -> {}, known);
+    follower.start();
+    scheduler.run(1_000);
+    store.isSilent = true;
+    scheduler.run(5_000);
+    for (int i = 0; i <= MAX_CHANGES; i++) {
+      store.writtenAtMillis.add(scheduler.nowMillis());
+    }
+    store.isSilent = false;
+    scheduler.run(FeedFollower.OVERDUE_MILLIS + 100);
+    assertThat(known.number).isEqualTo(store.newest());
+    assertThat(follower.knowledgeAgeMillis()).isLessThan(FeedFollower.OVERDUE_MILLIS);
+  }
+
   /** Guards against a row that came and went while the changes were not received. */
   @Test
   void followsAnewAfterReadOfAllRows() {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -1,7 +1,9 @@
 package org.hibiscusreel.daemon.http;
 
 import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufs;
 import io.activej.common.MemSize;
+import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.dns.DnsClient;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeader;
@@ -37,6 +39,33 @@
 
   private static final MemSize MAX_RESPONSE_SIZE = MemSize.megabytes(16);
 
+  /**
+   * What a caller expects of a response.
+   *
+   * @param fields header fields to return
+   * @param maxBodyBytes largest body that is read, in bytes
+   */
+  public record ResponseTerms(List<HttpHeader> fields, long maxBodyBytes) {
+
+    /** No header fields, and a body of any size that the client reads. */
+    public static final ResponseTerms DEFAULT = withFields(List.of());
+
+    /** Copies the list. */
+    public ResponseTerms {
+      fields = List.copyOf(fields);
+    }
+
+    /**
+     * Returns the terms of a body of any size that the client reads.
+     *
+     * @param fields header fields to return
+     * @return terms
+     */
+    public static ResponseTerms withFields(List<HttpHeader> fields) {
+      return new ResponseTerms(fields, MAX_RESPONSE_SIZE.toLong());
+    }
+  }
+
   private final NioReactor reactor;
   private final HttpClient client;
   private final ConnectionTracker tracker;
@@ -103,28 +132,28 @@
       Map<HttpHeader, String> headers,
       byte[] body,
       long timeoutMillis) {
-    return call(method, url, headers, body, timeoutMillis, List.of());
+    return call(method, url, headers, body, timeoutMillis, ResponseTerms.DEFAULT);
   }
 
   /**
-   * Calls a server and waits for the complete response with some of its header fields.
+   * Calls a server and waits for the complete response, within terms of the caller.
    *
    * @param method HTTP method
    * @param url URL with an IP address as its host
    * @param headers headers to send
-   * @param body body to send, or null for none
+   * @param content body to send, or null for none
    * @param timeoutMillis time to wait for the complete response, in milliseconds
-   * @param responseFields header fields of the response to return
+   * @param terms what is expected of the response
    * @return the outcome; cancelling it closes the connection that was opened for the call
    */
   public CompletableFuture<HttpResult> call(
       HttpMethod method,
       String url,
       Map<HttpHeader, String> headers,
-      byte[] body,
+      byte[] content,
       long timeoutMillis,
-      List<HttpHeader> responseFields) {
-    Exchange exchange = open(method, url, headers, body);
+      ResponseTerms terms) {
+    Exchange exchange = open(method, url, headers, content);
     CompletableFuture<HttpResult> future = new CompletableFuture<>();
     ScheduledRunnable timer =
         reactor.delayBackground(
@@ -139,12 +168,16 @@
             });
     exchange
         .response()
-        .then(
-            r ->
-                r.loadBody(MAX_RESPONSE_SIZE)
-                    .map(buf -> toResult(r, responseFields, buf.getArray())))
+        .then(r -> load(r, terms.maxBodyBytes()).map(body -> toResult(r, terms.fields(), body)))
         .whenResult(future::complete)
-        .whenException(e -> future.complete(exchange.toFailure(String.valueOf(e))));
+        .whenException(
+            e -> {
+              exchange.abort();
+              future.complete(
+                  e instanceof BodyTooLargeException
+                      ? new HttpResult.TooLarge(terms.maxBodyBytes())
+                      : exchange.toFailure(String.valueOf(e)));
+            });
     var unused =
         future.whenComplete(
             (r, e) -> {
@@ -158,6 +191,27 @@
     return future;
   }
 
+  /** Reads a body, and ends the reading once it is too large. */
+  private static Promise<byte[]> load(HttpResponse response, long maxBytes) {
+    return ChannelSupplier.collect(
+        response.takeBodyStream(),
+        new ByteBufs(),
+        (found, next) -> {
+          found.add(next);
+          if (found.remainingBytes() > maxBytes) {
+            found.recycle();
+            throw new BodyTooLargeException();
+          }
+        },
+        found -> found.takeRemaining().asArray());
+  }
+
+  /** Ends the reading of a body. */
+  private static final class BodyTooLargeException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+  }
+
   /**
    * Sends a request whose response is read as a stream. The body of the response must be taken or
    * closed.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpResult.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/HttpResult.java
@@ -34,6 +34,13 @@
     }
   }
 
+  /**
+   * A response has begun whose body is larger than its caller accepts.
+   *
+   * @param limitBytes largest size in bytes that the caller accepts
+   */
+  record TooLarge(long limitBytes) implements HttpResult {}
+
   /**
    * No connection could be opened, so no part of the call was sent.
    *
