Limit the memory of callers' bodies, in total and for each key

Cause: nothing bounded the memory of the bodies in progress. Each was held twice while it was read, and once until its request ended.

Now all bodies in progress may take a quarter of the heap, and those with one key half of that. What does not fit is read, discarded and refused with 503 and Retry-After, so it has not run; the line "refused_body" and the gauge "callers.body_bytes" tell. Bodies are read into one array, and memory is taken as their bytes arrive. The limit of the project's own interface is the same class.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
@@ -8,6 +8,7 @@
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.request.ProblemCode;
+import org.hibiscusreel.daemon.http.BodyMemory;
 
 /** Reads the body of a request with a size limit and a timeout. */
 final class BodyReader {
@@ -23,19 +24,8 @@
 
   private static final long RETRY_AFTER_MILLIS = 1000;
 
-  /** Limit on the memory of all bodies that are being read, in bytes. */
-  static final class MemoryLimit {
-
-    private final long limit;
-    private long used;
-
-    MemoryLimit(long limit) {
-      this.limit = limit;
-    }
-  }
-
   private final ChannelSupplier<ByteBuf> source;
-  private final MemoryLimit memory;
+  private final BodyMemory.Lease memory;
   private final int limit;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final SettablePromise<byte[]> result = new SettablePromise<>();
@@ -44,10 +34,10 @@
   private long received;
 
   private BodyReader(
-      ChannelSupplier<ByteBuf> source, int limit, MemoryLimit memory, Scheduler scheduler) {
+      ChannelSupplier<ByteBuf> source, int limit, BodyMemory memory, Scheduler scheduler) {
     this.source = source;
     this.limit = limit;
-    this.memory = memory;
+    this.memory = memory.lease("");
     this.timer =
         scheduler.schedule(
             BODY_TIMEOUT_MILLIS,
@@ -62,7 +52,7 @@
    * body arrived completely.
    */
   static Promise<Boolean> discard(
-      ChannelSupplier<ByteBuf> source, int limit, MemoryLimit memory, Scheduler scheduler) {
+      ChannelSupplier<ByteBuf> source, int limit, BodyMemory memory, Scheduler scheduler) {
     BodyReader reader = new BodyReader(source, limit, memory, scheduler);
     reader.isBuffered = false;
     reader.readNext();
@@ -74,7 +64,7 @@
    * or if too many bodies are being read.
    */
   static Promise<byte[]> read(
-      ChannelSupplier<ByteBuf> source, int limit, MemoryLimit memory, Scheduler scheduler) {
+      ChannelSupplier<ByteBuf> source, int limit, BodyMemory memory, Scheduler scheduler) {
     BodyReader reader = new BodyReader(source, limit, memory, scheduler);
     reader.readNext();
     return reader.result;
@@ -115,18 +105,17 @@
   }
 
   private void append(byte[] bytes) {
-    if (memory.used + bytes.length > memory.limit) {
+    if (!memory.grow(bytes.length)) {
       fail(
           new ProblemException(
               ProblemCode.OVERLOADED, "too many bodies are being read", RETRY_AFTER_MILLIS));
       return;
     }
-    memory.used += bytes.length;
     body.writeBytes(bytes);
   }
 
   private void release() {
-    memory.used -= body.size();
+    memory.release();
     body.reset();
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
@@ -31,6 +31,7 @@
 import org.hibiscusreel.core.request.ProblemCode;
 import org.hibiscusreel.core.request.Ran;
 import org.hibiscusreel.core.request.RequestKey;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.CallerConnections;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 import org.hibiscusreel.daemon.platform.JsonBodies;
@@ -67,8 +68,8 @@
   private final Scheduler scheduler;
   private final CallerConnections connections;
   private final int maxBodyBytes;
-  private final BodyReader.MemoryLimit bodyMemory =
-      new BodyReader.MemoryLimit(MAX_BODY_MEMORY_BYTES);
+  private final BodyMemory bodyMemory =
+      new BodyMemory(MAX_BODY_MEMORY_BYTES, MAX_BODY_MEMORY_BYTES);
 
   CallerServlet(
       RequestService requests,
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -28,6 +28,7 @@
   private final CallerDialect dialect;
   private final CallerConnections.TrackedConnection connection;
   private final BooleanSupplier shouldClose;
+  private final Runnable onEnded;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private Forwarder.Handle handle;
@@ -38,10 +39,12 @@
   CallerResponseWriter(
       CallerDialect dialect,
       CallerConnections.TrackedConnection connection,
-      BooleanSupplier shouldClose) {
+      BooleanSupplier shouldClose,
+      Runnable onEnded) {
     this.dialect = dialect;
     this.connection = connection;
     this.shouldClose = shouldClose;
+    this.onEnded = onEnded;
   }
 
   /** Returns the response, which completes when its status and headers are known. */
@@ -64,9 +67,16 @@
     handle = task;
   }
 
-  private void onDisconnected() {
+  private void markEnded() {
     if (!isEnded) {
       isEnded = true;
+      onEnded.run();
+    }
+  }
+
+  private void onDisconnected() {
+    if (!isEnded) {
+      markEnded();
       if (handle != null) {
         handle.onCallerDisconnected();
       }
@@ -75,7 +85,7 @@
 
   @Override
   public void respond(int status, List<HeaderField> fields, byte[] body) {
-    isEnded = true;
+    markEnded();
     response.trySet(newResponse(status, fields).withBody(body).build());
   }
 
@@ -111,13 +121,13 @@
 
   @Override
   public void end() {
-    isEnded = true;
+    markEnded();
     completePendingRead();
   }
 
   @Override
   public void abort() {
-    isEnded = true;
+    markEnded();
     connection.close();
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -29,6 +29,7 @@
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.ConnectionProbe;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
@@ -61,6 +62,9 @@
 
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
+  /** Part of the heap that the bodies of requests may take. */
+  private static final int BODY_HEAP_DIVISOR = 4;
+
   /**
    * Lag behind the configuration of other daemons up to which a daemon is ready, as a fraction of
    * the bound for a configuration to be in force.
@@ -238,6 +242,7 @@
             ports.upstreamDialect(),
             traffic,
             decisions);
+    final BodyMemory bodies = newBodyMemory(Runtime.getRuntime().maxMemory());
     this.server =
         new ForwardServer(
             reactor,
@@ -247,12 +252,14 @@
             ports.callerDialect(),
             this::isReady,
             traffic,
-            decisions);
+            decisions,
+            bodies);
     this.status = new StatusServer(reactor, settings.status(), this::isReady, decisions::toText);
     this.metrics = new StatusServer(reactor, settings.metrics(), this::isReady, decisions::toText);
     decisions.register("requests.in_progress", forwarder::inProgress);
     decisions.register("requests.served", forwarder::served);
     decisions.register("requests.refused", forwarder::refused);
+    decisions.register("callers.body_bytes", bodies::usedBytes);
     decisions.register("callers.connections", server::connectionCount);
     decisions.register("configuration.version", this::configurationVersion);
     decisions.register("configuration.lag_ms", fleet::configurationLagMillis);
@@ -266,6 +273,12 @@
     decisions.register("log.dropped", log::dropped);
   }
 
+  /** Leaves most of the heap to copies of the bodies that are being sent, and to all else. */
+  private static BodyMemory newBodyMemory(long heapBytes) {
+    long limit = Math.max(ForwardServer.MAX_BODY_BYTES, heapBytes / BODY_HEAP_DIVISOR);
+    return new BodyMemory(limit, Math.max(ForwardServer.MAX_BODY_BYTES, limit / 2));
+  }
+
   private static String formatAddress(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -21,6 +21,7 @@
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.Refusal;
 import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.CallerConnections;
 import org.hibiscusreel.daemon.http.RequestFraming;
 import org.hibiscusreel.daemon.http.TrafficListener;
@@ -40,11 +41,14 @@
   private static final int BACKLOG = 1024;
 
   /** Largest request body that is read, in bytes; the configuration may set a lower limit. */
-  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
   /** Shortest delay of a task in milliseconds that is not due at once. */
   private static final long READ_DELAY_MILLIS = 1;
 
+  /** Advice to a caller whose body found no memory; others end within some hundred milliseconds. */
+  private static final long BODY_RETRY_AFTER_MILLIS = 300;
+
   private static final Refusal CLOSING =
       new Refusal(Refusal.Kind.NOT_RUN, 0, "the connection is being closed");
 
@@ -53,6 +57,7 @@
   private final CallerDialect dialect;
   private final BooleanSupplier isReady;
   private final DecisionLog decisions;
+  private final BodyMemory bodies;
   private final CallerConnections connections;
   private final HttpServer server;
   private boolean stopping;
@@ -68,7 +73,8 @@
    * @param isReady tells whether callers may keep their connections; otherwise responses ask them
    *     to connect again, to another daemon
    * @param traffic receives the number of bytes exchanged with callers
-   * @param decisions records the requests that are refused because of their framing
+   * @param decisions records the requests that are refused because of their framing or size
+   * @param bodies limits the memory of the requests' bodies
    * @throws NullPointerException if an argument is null
    */
   public ForwardServer(
@@ -79,12 +85,14 @@
       CallerDialect dialect,
       BooleanSupplier isReady,
       TrafficListener traffic,
-      DecisionLog decisions) {
+      DecisionLog decisions,
+      BodyMemory bodies) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
     this.dialect = Objects.requireNonNull(dialect, "dialect");
     this.isReady = Objects.requireNonNull(isReady, "isReady");
     this.decisions = Objects.requireNonNull(decisions, "decisions");
+    this.bodies = Objects.requireNonNull(bodies, "bodies");
     this.connections =
         new CallerConnections(
             scheduler, reactor, traffic, this::pipelinedRefusal, this::refuseFraming);
@@ -148,21 +156,43 @@
 
   private Promise<HttpResponse> serve(HttpRequest request) {
     CallerConnections.TrackedConnection connection = connections.connectionOf(request);
+    BodyMemory.Lease memory = bodies.lease(sender(request));
     CallerResponseWriter answer =
-        new CallerResponseWriter(dialect, connection, () -> stopping || !isReady.getAsBoolean());
+        new CallerResponseWriter(
+            dialect, connection, () -> stopping || !isReady.getAsBoolean(), memory::release);
     if (connection.isClosing()) {
       answer.refuse(CLOSING);
       return answer.response();
     }
-    return request
-        .loadBody(MAX_BODY_BYTES)
+    return RequestBodyReader.read(request, memory, MAX_BODY_BYTES)
         .then(
             body -> {
-              CallerRequest parsed = read(request, body.getArray());
+              if (body.isEmpty()) {
+                refuseBody(request, answer);
+                return answer.response();
+              }
+              CallerRequest parsed = read(request, body.get());
               answer.detectDisconnect();
               afterNextRead(() -> forward(parsed, answer));
               return answer.response();
-            });
+            })
+        .whenException(e -> memory.release());
+  }
+
+  /** Returns what tells senders apart before their requests are read. */
+  private static String sender(HttpRequest request) {
+    String key = request.getHeader(HttpHeaders.AUTHORIZATION);
+    return key == null ? "" : key;
+  }
+
+  private void refuseBody(HttpRequest request, CallerResponseWriter answer) {
+    Map<String, Object> fields = new LinkedHashMap<>();
+    fields.put("path", request.getPath());
+    fields.put("used_bytes", bodies.usedBytes());
+    decisions.record("refused_body", fields);
+    answer.refuse(
+        new Refusal(
+            Refusal.Kind.NOT_RUN, BODY_RETRY_AFTER_MILLIS, "too many bodies are in progress"));
   }
 
   /**
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyMemory.java
@@ -0,0 +1,100 @@
+package org.hibiscusreel.daemon.http;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Limits the memory that the bodies of requests take, of all senders together and of each one, so
+ * that a sender of many large bodies leaves room for others. Used only on the event loop.
+ */
+public final class BodyMemory {
+
+  private final long limitBytes;
+  private final long senderLimitBytes;
+  private final Map<String, Long> bytesBySender = new HashMap<>();
+  private long usedBytes;
+
+  /**
+   * Creates an account of memory that is not used yet.
+   *
+   * @param limitBytes limit for all senders together, in bytes
+   * @param senderLimitBytes limit for one sender, in bytes
+   * @throws IllegalArgumentException if a limit is negative
+   */
+  public BodyMemory(long limitBytes, long senderLimitBytes) {
+    if (limitBytes < 0 || senderLimitBytes < 0) {
+      throw new IllegalArgumentException("a negative limit of bytes");
+    }
+    this.limitBytes = limitBytes;
+    this.senderLimitBytes = senderLimitBytes;
+  }
+
+  /**
+   * Returns the memory of all bodies.
+   *
+   * @return bytes in use
+   */
+  public long usedBytes() {
+    return usedBytes;
+  }
+
+  /**
+   * Begins to count the body of a request.
+   *
+   * @param sender identifies who sends the request
+   * @return a lease of no bytes
+   * @throws NullPointerException if the sender is null
+   */
+  public Lease lease(String sender) {
+    return new Lease(Objects.requireNonNull(sender, "sender"));
+  }
+
+  /** Memory of one body. */
+  public final class Lease {
+
+    private final String sender;
+    private long bytes;
+
+    private Lease(String sender) {
+      this.sender = sender;
+    }
+
+    /**
+     * Tells whether further memory is left.
+     *
+     * @param count number of bytes, 0 or more
+     * @return false if these bytes would exceed a limit
+     */
+    public boolean hasRoom(long count) {
+      long ofSender = bytesBySender.getOrDefault(sender, 0L);
+      return usedBytes + count <= limitBytes && ofSender + count <= senderLimitBytes;
+    }
+
+    /**
+     * Takes further memory.
+     *
+     * @param count number of bytes, 0 or more
+     * @return false if that exceeds a limit; nothing was taken then
+     */
+    public boolean grow(long count) {
+      if (hasRoom(count)) {
+        take(count);
+        return true;
+      }
+      return false;
+    }
+
+    /** Gives all memory back. May be called more than once. */
+    public void release() {
+      take(-bytes);
+    }
+
+    private void take(long count) {
+      bytes += count;
+      usedBytes += count;
+      bytesBySender.merge(sender, count, Long::sum);
+      bytesBySender.remove(sender, 0L);
+    }
+  }
+}
--- a/daemon/src/test/java/org/hibiscusreel/daemon/caller/BodyReaderTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/caller/BodyReaderTest.java
@@ -7,6 +7,7 @@
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
@@ -16,7 +17,7 @@
 
   private final TestLoop loop = new TestLoop();
   private final EventLoopScheduler scheduler = new EventLoopScheduler(loop.eventloop());
-  private final BodyReader.MemoryLimit memory = new BodyReader.MemoryLimit(100);
+  private final BodyMemory memory = new BodyMemory(100, 100);
 
   @AfterEach
   void stop() {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -48,6 +48,7 @@
 import org.hibiscusreel.core.forward.UpstreamNotice;
 import org.hibiscusreel.core.forward.WeightedService;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.RequestForms;
 import org.hibiscusreel.daemon.http.TrafficListener;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
@@ -55,7 +56,9 @@
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -71,6 +74,7 @@
   private ForwardServer server;
   private volatile boolean isReady = true;
   private Optional<String> upstreamAddress = Optional.empty();
+  private final BodyMemory bodies = new BodyMemory(10_000, 6_000);
   private final CountedTraffic callerTraffic = new CountedTraffic();
   private final CountedTraffic upstreamTraffic = new CountedTraffic();
 
@@ -278,7 +282,8 @@
                   dialect,
                   () -> isReady,
                   callerTraffic,
-                  (e, f) -> {});
+                  (e, f) -> {},
+                  bodies);
           try {
             server.start();
           } catch (IOException e) {
@@ -493,6 +498,51 @@
     }
   }
 
+  private static String upload(String key, int bytes, boolean chunked) {
+    String body = "x".repeat(bytes);
+    return "POST /plain/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: "
+        + key
+        + (chunked
+            ? "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+            : "\r\nContent-Length: " + bytes + "\r\n\r\n" + body);
+  }
+
+  /** Guards against bodies of one caller that fill the memory, so that the requests of all end. */
+  @ParameterizedTest
+  @CsvSource({
+    "a, 2000, false, 503",
+    "a, 2000, true, 503",
+    "a, 900, false, 200",
+    "b, 2000, true, 200"
+  })
+  @Timeout(20)
+  void refusesBodyForWhichThereIsNoMemory(String key, int bytes, boolean chunked, int status)
+      throws Exception {
+    CountDownLatch isRefused = new CountDownLatch(1);
+    start(
+        (line, socket, out) -> {
+          if (upstream.requestLines().size() == 1) {
+            assertThat(isRefused.await(5, TimeUnit.SECONDS)).isTrue();
+          }
+          RawServer.respond("200 OK", "hello").handle(line, socket, out);
+        });
+    try (Socket first = connect();
+        Socket second = connect();
+        Socket third = connect()) {
+      send(first, upload("a", 5_000, chunked));
+      while (upstream.requestLines().isEmpty()) {
+        Thread.sleep(10);
+      }
+      send(second, upload(key, bytes, chunked));
+      assertThat(readAll(second)).startsWith("HTTP/1.1 " + status);
+      isRefused.countDown();
+      assertThat(readAll(first)).startsWith("HTTP/1.1 200").endsWith("hello");
+      send(third, upload("a", 5_000, chunked));
+      assertThat(readAll(third)).startsWith("HTTP/1.1 200").endsWith("hello");
+    }
+    loop.run(() -> assertThat(bodies.usedBytes()).isZero());
+  }
+
   private static String readUntil(Socket socket, String end) throws IOException {
     StringBuilder text = new StringBuilder();
     while (!text.toString().endsWith(end)) {
