Keep the port of an absent relay from being given out again in a test

By reading, a call asks two relays at most, so the request can only have reached the third one at an address of the first two. The one red run itself kept no addresses.

Now the port of an absent relay stays bound, without listening, until the test ends; connections are refused as before. The check is the same. UpstreamCallTest green.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/UpstreamCallTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/UpstreamCallTest.java
@@ -4,10 +4,12 @@
 
 import io.activej.http.HttpResponse;
 import java.io.BufferedReader;
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -39,29 +41,41 @@
       new UpstreamEntry("u", "s", "127.0.0.1:1", "d", false, 4, 7);
 
   private final TestLoop loop = new TestLoop();
-  private final List<ServerSocket> relays = new ArrayList<>();
+  private final List<Closeable> relays = new ArrayList<>();
   private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
   @AfterEach
   void stop() throws IOException {
     loop.close();
-    for (ServerSocket s : relays) {
-      s.close();
+    for (Closeable r : relays) {
+      r.close();
     }
   }
 
   /** Starts a relay that closes each connection after the request or answers with a field. */
   private String relay(String answer) {
+    return answer.equals("absent") ? absentRelay() : startRelay(answer);
+  }
+
+  /** Returns an address that refuses connections and that no other relay gets meanwhile. */
+  private String absentRelay() {
+    try {
+      Socket unconnected = new Socket();
+      relays.add(unconnected);
+      unconnected.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      return "127.0.0.1:" + unconnected.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private String startRelay(String answer) {
     try {
       ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
       relays.add(server);
-      if (answer.equals("absent")) {
-        server.close();
-      } else {
-        Thread t = new Thread(() -> serve(server, answer), "relay");
-        t.setDaemon(true);
-        t.start();
-      }
+      Thread t = new Thread(() -> serve(server, answer), "relay");
+      t.setDaemon(true);
+      t.start();
       return "127.0.0.1:" + server.getLocalPort();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
