--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -36,6 +36,14 @@
   private boolean isPaused;
   private boolean isEnded;
 
+  /**
+   * Creates a writer for one response.
+   *
+   * @param dialect message format of the callers
+   * @param connection connection of the caller
+   * @param shouldClose tells whether the caller is asked to connect again
+   * @param onEnded called once the response is known completely, or will never be
+   */
   CallerResponseWriter(
       CallerDialect dialect,
       CallerConnections.TrackedConnection connection,
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -62,7 +62,7 @@
 
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
-  /** Part of the heap that the bodies of requests may take. */
+  /** The bodies of requests may take the heap divided by this. */
   private static final int BODY_HEAP_DIVISOR = 4;
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -46,7 +46,7 @@
   /** Shortest delay of a task in milliseconds that is not due at once. */
   private static final long READ_DELAY_MILLIS = 1;
 
-  /** Advice to a caller whose body found no memory; others end within some hundred milliseconds. */
+  /** Retry advice in milliseconds for a request whose body finds no memory. */
   private static final long BODY_RETRY_AFTER_MILLIS = 300;
 
   private static final Refusal CLOSING =
