Log from what the origin of each stream was concluded

The log could not tell apart a daemon that knows a stream, one that concludes its version from its own view, and one that relies on others, nor how old the evidence was: a stream known in memory wrote no line, and no line had the time without a gap, the configuration or the number of daemons that confirm.

stream_origin is now written for each stream that a caller takes up, with these values; request has the version at which the stream began; upstream_unseen tells of a removed upstream that was never listed. The metrics count each event by source.

Nothing that daemons send each other or store changes. The new test is red without the change: no line had the fields. StreamOriginsTest, StreamExchangeTest, FleetFollowerTest, PinnedStreamsTest, PeerVersionsTest and DecisionMetricsTest are green.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -422,6 +422,8 @@
           log.record(
               "upstream_lapsed",
               Map.of("upstream", c.key(), "grace_ms", UpstreamCatalog.REMOVAL_GRACE_MILLIS));
+        } else {
+          log.record("upstream_unseen", Map.of("upstream", c.key()));
         }
       }
       listener.onUpstreamsRemoved(removed);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -880,6 +880,7 @@
     fields.put("first_ms", firstEventAtMillis == 0 ? -1 : firstEventAtMillis - arrivalMillis);
     fields.put("events", eventsDelivered);
     request.resumption().ifPresent(r -> fields.put("resumes", r.firstRequest().orElse("")));
+    origin.ifPresent(o -> fields.put("software", o.softwareVersion()));
     request.prompt().ifPresent(p -> fields.put("prompt_tokens", p.promptTokens()));
     fields.put("charged_tokens", charged);
     fields.put("attempts", attempts.results());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -40,11 +40,19 @@
    * @param daemons number of daemons, with this one
    */
   boolean areMost(String service, long millis, int daemons) {
-    long telling =
-        since(millis).stream()
-            .filter(r -> r.versions().stream().anyMatch(v -> v.service().equals(service)))
-            .count();
-    return 2 * (telling + 1) > daemons;
+    return 2 * (count(service, millis) + 1) > daemons;
+  }
+
+  /**
+   * Returns the number of daemons that have reported a version of a service after a time.
+   *
+   * @param service name of the service
+   * @param millis monotonic time in milliseconds
+   */
+  long count(String service, long millis) {
+    return since(millis).stream()
+        .filter(r -> r.versions().stream().anyMatch(v -> v.service().equals(service)))
+        .count();
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -23,6 +23,7 @@
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.ReportedUpstreams;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.StreamReport;
@@ -110,6 +111,8 @@
   /** What an answer was concluded from. */
   private enum Source {
     NONE,
+    /** This daemon, at which the stream has begun or was taken up before. */
+    OWN,
     /** The record of the stream in the store. */
     RECORD,
     /** The report of the daemon at which the stream began. */
@@ -122,7 +125,7 @@
     PEERS
   }
 
-  private record Begun(StreamOrigin origin, long atMillis) {}
+  private record Begun(StreamOrigin origin, long atMillis, Source source) {}
 
   private record Lookup(
       String service,
@@ -257,7 +260,7 @@
     if (request.isEmpty() || request.length() > MAX_ID_LENGTH) {
       return;
     }
-    keep(request, origin, scheduler.nowMillis());
+    keep(request, new Begun(origin, scheduler.nowMillis(), Source.OWN));
     exchange.onBegun(request, origin);
     long number = currentRow();
     Map<String, StreamOrigin> row = ownRows.computeIfAbsent(number, n -> new LinkedHashMap<>());
@@ -305,10 +308,11 @@
   private void onPeerStreams(StreamReport report) {
     long now = scheduler.nowMillis();
     for (StreamReport.Streams s : report.streams()) {
-      s.requests().forEach(r -> known.putIfAbsent(r, new Begun(s.origin(), now)));
+      Begun begun = new Begun(s.origin(), now, Source.REPORT);
+      s.requests().forEach(r -> known.putIfAbsent(r, begun));
     }
     report.upstreams().forEach(u -> reported.add(u, now));
-    List.copyOf(lookups).forEach(l -> endIfKnown(l, Source.REPORT));
+    List.copyOf(lookups).forEach(this::endIfKnown);
   }
 
   /**
@@ -321,10 +325,10 @@
     return reported.continuing(origin, scheduler.nowMillis());
   }
 
-  private void keep(String request, StreamOrigin origin, long atMillis) {
+  private void keep(String request, Begun begun) {
     // The oldest record comes first, so that expired ones are found without a search.
     known.remove(request);
-    known.put(request, new Begun(origin, atMillis));
+    known.put(request, begun);
   }
 
   private long currentRow() {
@@ -344,7 +348,9 @@
     expire();
     Optional<Begun> begun = request.map(known::get);
     if (begun.isPresent()) {
-      return CompletableFuture.completedFuture(new Found.Known(begun.get().origin()));
+      Found found = new Found.Known(begun.get().origin());
+      record(request, service, found, begun.get().source(), 0);
+      return CompletableFuture.completedFuture(found);
     }
     // A record may be written up to an interval after the first event.
     long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + readIntervalMillis());
@@ -358,29 +364,34 @@
 
   private void end(Lookup lookup, Found found, Source source) {
     if (lookups.remove(lookup)) {
-      record(lookup.request(), lookup.service(), found, source);
+      long took = scheduler.nowMillis() - lookup.askedAtMillis();
+      record(lookup.request(), lookup.service(), found, source, took);
       lookup.found().complete(found);
     }
   }
 
-  private void record(Optional<String> request, String service, Found found, Source source) {
-    log.record(
-        "stream_origin",
-        Map.of(
-            "request",
-            request.orElse(""),
-            "service",
-            service,
-            "candidates",
-            evidence.candidates(service).stream().map(StreamOrigin::softwareVersion).toList(),
-            "source",
-            source.name().toLowerCase(Locale.ROOT),
-            "upstreams_age_ms",
-            fleet.upstreamDataAgeMillis(),
-            "outcome",
-            found instanceof Found.Known k
-                ? k.origin().softwareVersion()
-                : found.getClass().getSimpleName()));
+  private void record(
+      Optional<String> request, String service, Found found, Source source, long tookMillis) {
+    Map<String, Object> fields = new LinkedHashMap<>();
+    fields.put("request", request.orElse(""));
+    fields.put("service", service);
+    fields.put(
+        "candidates",
+        evidence.candidates(service).stream().map(StreamOrigin::softwareVersion).toList());
+    fields.put("source", source.name().toLowerCase(Locale.ROOT));
+    fields.put("took_ms", tookMillis);
+    fields.put("upstreams_age_ms", fleet.upstreamDataAgeMillis());
+    fields.put("followed_ms", fleet.upstreamsFollowedMillis());
+    fields.put("configuration", fleet.table().map(ForwardingTable::version).orElse(0L));
+    fields.put("daemons", evidence.daemonCount());
+    fields.put("reporting", evidence.reportingCount(service));
+    if (found instanceof Found.Known k) {
+      fields.put("origin_service", k.origin().service());
+      fields.put("outcome", k.origin().softwareVersion());
+    } else {
+      fields.put("outcome", found.getClass().getSimpleName());
+    }
+    log.record("stream_origin", fields);
   }
 
   private void scheduleRead() {
@@ -440,18 +451,18 @@
         return;
       }
       apply(reading.rows);
-      reading.asked.forEach(l -> endIfKnown(l, Source.RECORD));
+      reading.asked.forEach(this::endIfKnown);
     }
     reading.isScanned = true;
     readMillis = scheduler.nowMillis() - readBeganAtMillis;
     endReading(reading);
   }
 
-  private void endIfKnown(Lookup lookup, Source source) {
+  private void endIfKnown(Lookup lookup) {
     lookup
         .request()
         .map(known::get)
-        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), source));
+        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), b.source()));
   }
 
   /** Ends a read once both the rows and the upstreams of now are known, or can't be. */
@@ -526,7 +537,7 @@
     for (OriginRow.Streams s : content.streams()) {
       StreamOrigin origin = new StreamOrigin(s.service(), s.software());
       for (String request : s.requests()) {
-        known.putIfAbsent(request, new Begun(origin, atMillis));
+        known.putIfAbsent(request, new Begun(origin, atMillis, Source.RECORD));
         if (isOwn && !areOwnRowsKnown) {
           // An earlier run of this host has written into the row.
           ownRows
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -157,11 +157,20 @@
    */
   Optional<StreamOrigin> byPeers(String service, long askedAtMillis) {
     observe();
-    int count = Math.max(mostDaemons, mostDaemonsBefore);
-    boolean areMost = peers.areMost(service, askedAtMillis + REPORT_DELAY_MILLIS, count);
+    boolean areMost = peers.areMost(service, askedAtMillis + REPORT_DELAY_MILLIS, daemonCount());
     return areMost ? byView(service) : Optional.empty();
   }
 
+  /** Returns the highest number of daemons of late, with this one. */
+  int daemonCount() {
+    return Math.max(mostDaemons, mostDaemonsBefore);
+  }
+
+  /** Returns how many other daemons have reported a version of a service lately. */
+  long reportingCount(String service) {
+    return peers.count(service, scheduler.nowMillis() - LoadExchange.HEARD_MILLIS);
+  }
+
   private boolean hasLongView() {
     return fleet.upstreamsFollowedMillis() >= StreamOrigins.KEEP_MILLIS;
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -73,6 +73,7 @@
     private final String host;
     private final StreamOrigins origins;
     private final FakeStreamTransport transport;
+    private final List<Map<String, Object>> lines = new ArrayList<>();
     private boolean alive = true;
     private int count = 2;
     private boolean isStoreReachable = true;
@@ -98,7 +99,7 @@
               800,
               this::daemonCount,
               transport,
-              (e, f) -> {});
+              (e, f) -> lines.add(f));
       origins.start();
     }
 
@@ -479,6 +480,38 @@
     assertThat(second.find("id")).isEqualTo(new Found.Known(origin("v1")));
   }
 
+  /** Guards against answers whose evidence, and its age, can't be told from the log. */
+  @ParameterizedTest
+  @CsvSource({"own, 31_000, 1", "record, 31_000, 1", "view, 31_000, 1", "none, 0, 0"})
+  void logsFromWhatAnAnswerWasConcluded(String source, String followedMillis, int reporting) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon asked = new Daemon("b", List.of("v1"));
+    scheduler.run(30_000);
+    if (source.equals("record")) {
+      asked.follow(List.of("v1", "v2"));
+      first.origins.onBegun("id", origin("v1"));
+    } else if (source.equals("own")) {
+      asked.origins.onBegun("id", origin("v1"));
+    }
+    asked.isStoreReachable = !source.equals("none");
+    scheduler.run(1_000);
+    if (reporting > 0) {
+      asked.origins.onPeerVersions("a", List.of(origin("v1")));
+    } else {
+      asked.knownSinceMillis = scheduler.nowMillis();
+    }
+    asked.find("id");
+    Map<String, Object> line = asked.lines.get(asked.lines.size() - 1);
+    assertThat(line)
+        .containsEntry("source", source)
+        .containsEntry("outcome", reporting > 0 ? "v1" : "Unavailable")
+        .containsEntry("daemons", 2)
+        .containsEntry("reporting", (long) reporting);
+    long followed = Long.parseLong(followedMillis.replace("_", ""));
+    assertThat((long) line.get("followed_ms")).isBetween(followed, followed + TIMEOUT_MILLIS);
+  }
+
   /** Guards against a version that came and went between two looks at the catalog. */
   @Test
   void remembersVersionThatWasListedOnlyBriefly() {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/DecisionMetrics.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/DecisionMetrics.java
@@ -33,6 +33,9 @@
     Object outcome = fields.get("outcome");
     String name = outcome == null ? event : event + "." + firstWord(outcome.toString());
     registry.counter(name).inc();
+    if (fields.get("source") instanceof String source) {
+      registry.counter(event + ".source." + source).inc();
+    }
     for (String latency : LATENCY_FIELDS) {
       if (fields.get(latency) instanceof Long millis && millis >= 0) {
         registry.histogram(event + "." + latency).update(millis);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/DecisionMetricsTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/DecisionMetricsTest.java
@@ -15,6 +15,7 @@
     DecisionMetrics metrics = new DecisionMetrics((event, fields) -> passedOn.add(event));
     metrics.record("request", Map.of("outcome", "status 200", "took_ms", 40L, "first_ms", -1L));
     metrics.record("request", Map.of("outcome", "status 500", "took_ms", 60L));
+    metrics.record("stream_origin", Map.of("source", "view", "outcome", "v1"));
     metrics.record("stop", Map.of());
     metrics.register("upstreams.age_ms", () -> 12);
     assertThat(metrics.toText().lines())
@@ -23,8 +24,9 @@
             "request.took_ms.count 2",
             "request.took_ms.max 60",
             "stop 1",
+            "stream_origin.source.view 1",
             "upstreams.age_ms 12")
         .noneMatch(l -> l.startsWith("request.first_ms"));
-    assertThat(passedOn).containsExactly("request", "request", "stop");
+    assertThat(passedOn).containsExactly("request", "request", "stream_origin", "stop");
   }
 }
