Take a stream up only at the service at which it began

What callers saw: a stream that had begun at one service and was taken up after the operator had moved its route went on at the other service.

Cause: the daemon asked at which version of the service of its own configuration the stream had begun, and its view answered before the record of the named request was read. A daemon that lacked a newer configuration concluded the former service in the same way.

Change: RouteHistory keeps the services to which the configurations of the last minute have led each route. A conclusion without a record covers all of them, and the store is asked for the newest configuration as well. A daemon that has just started takes the configurations from the rows of the others; without the store, a newer configuration that another daemon has reported ends the conclusion. Streams of a route that was moved or split are reported to the other daemons like those of several versions.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -132,6 +132,11 @@
     return followedSinceMillis == NEVER ? 0 : scheduler.nowMillis() - followedSinceMillis;
   }
 
+  /** Records that some changes were not received, so that the time without a gap begins anew. */
+  void onGap() {
+    followedSinceMillis = scheduler.nowMillis();
+  }
+
   /**
    * Asks the store for what has changed until now. The age of the last answer does not tell: a
    * process that stood still does not know for how long.
@@ -260,7 +265,7 @@
     if (call.isFullRead()) {
       needsFullRead = false;
       isConfirmed = false;
-      followedSinceMillis = scheduler.nowMillis();
+      onGap();
       notifyListener(() -> listener.onFullRead(c.changes()));
     } else {
       isConfirmed = true;
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -21,6 +21,7 @@
 import org.hibiscusreel.core.forward.ConfigurationLag;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.LeavingUpstream;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 
@@ -115,6 +116,7 @@
   private final Listener listener;
   private final UpstreamCatalog upstreams = new UpstreamCatalog();
   private final ConfigurationLag lag = new ConfigurationLag();
+  private final RouteHistory routes = new RouteHistory();
   private final UnusableRows unusableConfigurations;
   private final UnusableRows unusableUpstreams;
   private final UnusableRows unusableHosts;
@@ -221,6 +223,21 @@
     lag.onPeerVersion(version, scheduler.nowMillis());
   }
 
+  @Override
+  public RouteHistory routes() {
+    return routes;
+  }
+
+  @Override
+  public long configurationFollowedMillis() {
+    return configurations.followedMillis();
+  }
+
+  @Override
+  public CompletableFuture<Boolean> catchUpWithConfiguration(long timeoutMillis) {
+    return configurations.catchUp(timeoutMillis);
+  }
+
   @Override
   public UpstreamCatalog upstreams() {
     return upstreams;
@@ -337,6 +354,7 @@
         "configuration",
         Map.of("version", t.version(), "before", current == null ? 0 : current.version()));
     current = t;
+    routes.onConfiguration(t, scheduler.nowMillis());
     lag.onOwnVersion(t.version());
     listener.onConfiguration(t);
   }
@@ -359,6 +377,10 @@
 
     @Override
     public void onChanges(List<Change> changes) {
+      if (changes.size() > 1) {
+        // Only the newest one is read; another daemon may have served by those before.
+        configurations.onGap();
+      }
       applyNewest(changes);
     }
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetView.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 
 /** Last known configuration, upstreams and number of daemons. */
@@ -30,6 +31,29 @@
    */
   long configurationLagMillis();
 
+  /**
+   * Returns the services to which the routes have led lately.
+   *
+   * @return the history, which is updated in place
+   */
+  RouteHistory routes();
+
+  /**
+   * Returns for how long all changes of the configuration were received.
+   *
+   * @return milliseconds, 0 if the configuration is not known
+   */
+  long configurationFollowedMillis();
+
+  /**
+   * Asks the store for the changes of the configuration until now.
+   *
+   * @param timeoutMillis longest wait in milliseconds
+   * @return true once all changes before this call are known, false if the store did not answer;
+   *     completes on the event loop and never exceptionally
+   */
+  CompletableFuture<Boolean> catchUpWithConfiguration(long timeoutMillis);
+
   /**
    * Returns the upstreams.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -140,12 +140,11 @@
   /** Finds out which upstreams can go on with the stream that the caller takes up. */
   private void findOrigin() {
     Optional<String> first = request.resumption().flatMap(Resumption::firstRequest);
-    String only = route.services().size() == 1 ? service.name() : "";
     long wait = Math.min(ORIGIN_TIMEOUT_MILLIS, remainingMillis());
     var unused =
         forwarder
             .origins()
-            .find(first, only, wait)
+            .find(first, request.host(), request.path(), wait)
             .thenAccept(
                 f -> {
                   if (!ended) {
@@ -162,8 +161,7 @@
           "it can't be found out now at which version the stream began");
     } else if (found instanceof StreamOrigins.Found.Known k) {
       StreamOrigin o = k.origin();
-      boolean isRouted = route.services().stream().anyMatch(s -> s.service().equals(o.service()));
-      if (!isRouted) {
+      if (!isRoutedTo(o.service())) {
         refuse(Refusal.Kind.NOT_RUN, 0, "the route no longer leads to the service of the stream");
       } else if (forwarder.hasUpstream(o)) {
         goOnAt(o);
@@ -175,6 +173,16 @@
     }
   }
 
+  /** Returns whether the route leads to a service by the configuration of now. */
+  private boolean isRoutedTo(String name) {
+    return forwarder
+        .fleet()
+        .table()
+        .flatMap(t -> t.route(request.host(), request.path()))
+        .filter(r -> r.serviceNames().contains(name))
+        .isPresent();
+  }
+
   private void goOnAt(StreamOrigin o) {
     origin = Optional.of(o);
     service = service(o.service());
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
@@ -1,6 +1,10 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Optional;
+import org.hibiscusreel.coordination.platform.Json;
 
 /**
  * Row in which a daemon records at which upstreams the streams of a few seconds have begun.
@@ -8,12 +12,49 @@
  * @param atMillis time of the store at which the row was written, in milliseconds
  * @param versions services with the versions of their upstreams that the daemon has seen
  * @param streams streams by what began them
+ * @param configurations versions of the configurations by which the daemon has served lately; empty
+ *     if an earlier release wrote the row
  */
-record OriginRow(long atMillis, List<Versions> versions, List<Streams> streams) {
+record OriginRow(
+    long atMillis,
+    List<Versions> versions,
+    List<Streams> streams,
+    Optional<List<Long>> configurations) {
 
   /** Versions of the software of the upstreams of a service. */
   record Versions(String service, List<String> software) {}
 
   /** Identifiers of the requests that brought the first events of streams. */
   record Streams(String service, String software, List<String> requests) {}
+
+  /** Fields of each release. */
+  private record Required(long atMillis, List<Versions> versions, List<Streams> streams) {}
+
+  /** Fields that earlier releases did not write. */
+  private record Added(List<Long> configurations) {}
+
+  /** All fields, as they are written. */
+  private record Written(
+      long atMillis, List<Versions> versions, List<Streams> streams, List<Long> configurations) {}
+
+  /**
+   * Reads a row.
+   *
+   * @throws IOException if a field is malformed, or one that each release writes is missing
+   */
+  static OriginRow parse(String text) throws IOException {
+    Required r = Json.readExact(text, Required.class);
+    Optional<List<Long>> configurations;
+    try {
+      configurations = Optional.ofNullable(Json.read(text, Added.class).configurations());
+    } catch (UncheckedIOException e) {
+      throw new IOException("the configurations are no numbers", e);
+    }
+    return new OriginRow(r.atMillis(), r.versions(), r.streams(), configurations);
+  }
+
+  /** Returns the text of the row. */
+  String toText() {
+    return Json.write(new Written(atMillis, versions, streams, configurations.orElse(List.of())));
+  }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -35,23 +35,23 @@
    * Returns whether reports received after a time, with the view of this daemon, are those of most
    * daemons. A daemon that hears fewer may be cut off with them from all that know of a version.
    *
-   * @param service name of the service; a report without a version of it tells nothing
+   * @param services names of services; a report without a version of one of them tells nothing
    * @param millis monotonic time in milliseconds
    * @param daemons number of daemons, with this one
    */
-  boolean areMost(String service, long millis, int daemons) {
-    return 2 * (count(service, millis) + 1) > daemons;
+  boolean areMost(Set<String> services, long millis, int daemons) {
+    return 2 * (count(services, millis) + 1) > daemons;
   }
 
   /**
-   * Returns the number of daemons that have reported a version of a service after a time.
+   * Returns the number of daemons that have reported a version of one of the services after a time.
    *
-   * @param service name of the service
+   * @param services names of the services
    * @param millis monotonic time in milliseconds
    */
-  long count(String service, long millis) {
+  long count(Set<String> services, long millis) {
     return since(millis).stream()
-        .filter(r -> r.versions().stream().anyMatch(v -> v.service().equals(service)))
+        .filter(r -> r.versions().stream().anyMatch(v -> services.contains(v.service())))
         .count();
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamExchange.java
@@ -17,8 +17,8 @@
 
 /**
  * Tells the other daemons at which version of a service the streams of this daemon have begun,
- * while several versions of the service are in use. A daemon that can't ask the store needs it once
- * this one has ended. Used only on the event loop thread.
+ * while they can have begun at several versions or services. A daemon that can't ask the store
+ * needs it once this one has ended. Used only on the event loop thread.
  */
 final class StreamExchange {
 
@@ -81,7 +81,7 @@
   private final Scheduler scheduler;
   private final StreamTransport transport;
   private final FleetView fleet;
-  private final Predicate<String> hasSeveralVersions;
+  private final Predicate<String> isAmbiguous;
   private final Map<String, Pending> pending = new LinkedHashMap<>();
   private final Map<String, Listed> listed = new HashMap<>();
   private List<String> peers = List.of();
@@ -96,17 +96,18 @@
    * @param scheduler clock and delayed tasks
    * @param transport sends the reports
    * @param fleet known upstreams
-   * @param hasSeveralVersions tells whether several versions of a service have been in use lately
+   * @param isAmbiguous tells whether streams of a service can have begun at several versions, or at
+   *     another service, as far as others know
    */
   StreamExchange(
       Scheduler scheduler,
       StreamTransport transport,
       FleetView fleet,
-      Predicate<String> hasSeveralVersions) {
+      Predicate<String> isAmbiguous) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.fleet = Objects.requireNonNull(fleet, "fleet");
-    this.hasSeveralVersions = Objects.requireNonNull(hasSeveralVersions, "hasSeveralVersions");
+    this.isAmbiguous = Objects.requireNonNull(isAmbiguous, "isAmbiguous");
   }
 
   /** Stops sending reports. */
@@ -176,7 +177,7 @@
     long nextDueAtMillis = Long.MAX_VALUE;
     for (Map.Entry<String, Pending> e : pending.entrySet()) {
       Pending p = e.getValue();
-      if (!needed.computeIfAbsent(p.origin.service(), hasSeveralVersions::test)) {
+      if (!needed.computeIfAbsent(p.origin.service(), isAmbiguous::test)) {
         continue;
       }
       if (p.dueAtMillis <= now && count < MAX_STREAMS) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.hibiscusreel.coordination.platform.Json;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Mutation;
@@ -128,7 +129,7 @@
   private record Begun(StreamOrigin origin, long atMillis, Source source) {}
 
   private record Lookup(
-      String service,
+      Supplier<Set<String>> services,
       Optional<String> request,
       long askedAtMillis,
       long untilMillis,
@@ -139,11 +140,11 @@
     }
   }
 
-  /** A read of the rows and of the changes of the upstreams in progress. */
+  /** A read of the rows and of the changes of the upstreams and the configuration in progress. */
   private static final class Reading {
     private final List<Lookup> asked;
     private final List<Row> rows = new ArrayList<>();
-    private Optional<Boolean> isCurrent = Optional.empty(); // empty until the changes are known
+    private Optional<Boolean> isCurrent = Optional.empty(); // empty until the answer is known
     private boolean isScanning;
     private boolean isScanned;
     private boolean hasFailed;
@@ -174,6 +175,7 @@
   private final ReportedUpstreams reported = new ReportedUpstreams();
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of();
+  private Set<Long> writtenConfigurations = Set.of();
   private Cancellable nextRead = () -> {};
   private boolean isReading;
   private boolean isReadScheduled;
@@ -219,7 +221,7 @@
     this.transport = Objects.requireNonNull(transport, "transport");
     this.log = Objects.requireNonNull(log, "log");
     this.evidence = new VersionEvidence(scheduler, clock, fleet, daemons);
-    this.exchange = new StreamExchange(scheduler, transport, fleet, evidence::hasSeveral);
+    this.exchange = new StreamExchange(scheduler, transport, fleet, evidence::isAmbiguous);
   }
 
   /** Reads the records of all daemons and starts to write those of this one. */
@@ -305,6 +307,20 @@
     exchange.onVersionsChanged();
   }
 
+  /** Reports the streams whose route may lead to another service from now on. */
+  public void onConfiguration() {
+    exchange.onVersionsChanged();
+  }
+
+  /**
+   * Records the version of the configuration that another daemon has confirmed lately.
+   *
+   * @param version version of the configuration, 0 if none
+   */
+  public void onPeerConfiguration(long version) {
+    evidence.onPeerConfiguration(version);
+  }
+
   private void onPeerStreams(StreamReport report) {
     long now = scheduler.nowMillis();
     for (StreamReport.Streams s : report.streams()) {
@@ -339,23 +355,26 @@
    * Finds at what a stream has begun.
    *
    * @param request identifier of the request that brought its first event, or empty
-   * @param service service that the stream belongs to if no record names one, or empty if it may be
-   *     one of several
+   * @param host host name of its requests
+   * @param path path of its requests without the query
    * @param timeoutMillis longest time to wait for the store, in milliseconds
    * @return the answer; completes on the event loop and never exceptionally
    */
-  CompletableFuture<Found> find(Optional<String> request, String service, long timeoutMillis) {
+  CompletableFuture<Found> find(
+      Optional<String> request, String host, String path, long timeoutMillis) {
     expire();
+    Supplier<Set<String>> services =
+        () -> fleet.routes().services(host, path, scheduler.nowMillis());
     Optional<Begun> begun = request.map(known::get);
     if (begun.isPresent()) {
       Found found = new Found.Known(begun.get().origin());
-      record(request, service, found, begun.get().source(), 0);
+      record(request, services.get(), found, begun.get().source(), 0);
       return CompletableFuture.completedFuture(found);
     }
     // A record may be written up to an interval after the first event.
     long waitMillis = Math.min(timeoutMillis, writeIntervalMillis() + readIntervalMillis());
     long now = scheduler.nowMillis();
-    Lookup lookup = new Lookup(service, request, now, now + waitMillis, new CompletableFuture<>());
+    Lookup lookup = new Lookup(services, request, now, now + waitMillis, new CompletableFuture<>());
     lookups.add(lookup);
     scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable(), Source.NONE));
     scheduleRead();
@@ -365,26 +384,27 @@
   private void end(Lookup lookup, Found found, Source source) {
     if (lookups.remove(lookup)) {
       long took = scheduler.nowMillis() - lookup.askedAtMillis();
-      record(lookup.request(), lookup.service(), found, source, took);
+      record(lookup.request(), lookup.services().get(), found, source, took);
       lookup.found().complete(found);
     }
   }
 
   private void record(
-      Optional<String> request, String service, Found found, Source source, long tookMillis) {
+      Optional<String> request, Set<String> services, Found found, Source source, long tookMillis) {
     Map<String, Object> fields = new LinkedHashMap<>();
     fields.put("request", request.orElse(""));
-    fields.put("service", service);
+    fields.put("service", services.size() == 1 ? services.iterator().next() : "");
+    fields.put("services", List.copyOf(services));
     fields.put(
         "candidates",
-        evidence.candidates(service).stream().map(StreamOrigin::softwareVersion).toList());
+        evidence.candidates(services).stream().map(StreamOrigin::softwareVersion).toList());
     fields.put("source", source.name().toLowerCase(Locale.ROOT));
     fields.put("took_ms", tookMillis);
     fields.put("upstreams_age_ms", fleet.upstreamDataAgeMillis());
     fields.put("followed_ms", fleet.upstreamsFollowedMillis());
     fields.put("configuration", fleet.table().map(ForwardingTable::version).orElse(0L));
     fields.put("daemons", evidence.daemonCount());
-    fields.put("reporting", evidence.reportingCount(service));
+    fields.put("reporting", evidence.reportingCount(services));
     if (found instanceof Found.Known k) {
       fields.put("origin_service", k.origin().service());
       fields.put("outcome", k.origin().softwareVersion());
@@ -411,10 +431,12 @@
     var unused =
         fleet
             .catchUpWithUpstreams(CATCH_UP_TIMEOUT_MILLIS)
+            .thenCombine(
+                fleet.catchUpWithConfiguration(CATCH_UP_TIMEOUT_MILLIS), Boolean::logicalAnd)
             .thenAccept(isCurrent -> onCaughtUp(reading, isCurrent));
     // Where the view will be enough, the rows need not be read; in a large fleet they are many.
     boolean isViewEnough =
-        reading.asked.stream().allMatch(l -> evidence.byView(l.service()).isPresent());
+        reading.asked.stream().allMatch(l -> evidence.byView(l.services().get()).isPresent());
     if (!areOwnRowsKnown || !isViewEnough) {
       scan(reading, "");
     }
@@ -426,7 +448,7 @@
       if (!isCurrent) {
         awaitPeers(l);
       } else {
-        evidence.byView(l.service()).ifPresent(o -> end(l, new Found.Known(o), Source.VIEW));
+        evidence.byView(l.services().get()).ifPresent(o -> end(l, new Found.Known(o), Source.VIEW));
       }
     }
     if (!reading.isScanning && reading.hasOpenLookups()) {
@@ -480,7 +502,7 @@
   }
 
   private void endFromRows(Lookup lookup) {
-    Optional<StreamOrigin> only = evidence.byRows(lookup.service());
+    Optional<StreamOrigin> only = evidence.byRows(lookup.services().get());
     if (only.isPresent()) {
       end(lookup, new Found.Known(only.get()), Source.ROWS);
     } else if (lookup.request().isEmpty() || scheduler.nowMillis() >= lookup.untilMillis()) {
@@ -495,7 +517,7 @@
   }
 
   private void endFromPeers(Lookup lookup) {
-    Optional<StreamOrigin> only = evidence.byPeers(lookup.service(), lookup.askedAtMillis());
+    Optional<StreamOrigin> only = evidence.byPeers(lookup.services().get(), lookup.askedAtMillis());
     if (only.isPresent()) {
       end(lookup, new Found.Known(only.get()), Source.PEERS);
     } else {
@@ -526,7 +548,7 @@
       evidence.onRow(Json.readExact(row.value(), EraRow.class));
       return;
     }
-    OriginRow content = Json.readExact(row.value(), OriginRow.class);
+    OriginRow content = OriginRow.parse(row.value());
     long ageMillis = Math.max(0, clock.millis() - content.atMillis());
     if (ageMillis > ROWS_MILLIS) {
       return;
@@ -571,22 +593,24 @@
       isEraWritten = false;
     }
     Set<StreamOrigin> versions = seenVersions();
+    Set<Long> configurations = fleet.routes().versionsSince(scheduler.nowMillis() - KEEP_MILLIS);
     // Without streams, too, the rows tell which versions were in use.
-    if (!versions.equals(written) || writtenRow != currentRow()) {
+    boolean isNew = !versions.equals(written) || !configurations.equals(writtenConfigurations);
+    if (isNew || writtenRow != currentRow()) {
       unwritten.add(currentRow());
     }
     if (!isWriting && areOwnRowsKnown && clock.millis() > 0 && !unwritten.isEmpty()) {
-      write(versions);
+      write(versions, configurations);
     }
   }
 
-  private void write(Set<StreamOrigin> versions) {
+  private void write(Set<StreamOrigin> versions, Set<Long> configurations) {
     isWriting = true;
     List<Long> numbers = List.copyOf(unwritten);
     unwritten.clear();
     List<Mutation> rows = new ArrayList<>();
     for (long n : numbers) {
-      rows.add(Mutation.put(key(n), Json.write(toRow(n, versions))));
+      rows.add(Mutation.put(key(n), toRow(n, versions, configurations).toText()));
     }
     final boolean hasEra = !isEraWritten;
     if (hasEra) {
@@ -600,6 +624,7 @@
                   isWriting = false;
                   if (w instanceof WriteResult.Committed) {
                     written = versions;
+                    writtenConfigurations = configurations;
                     isEraWritten |= hasEra;
                     writtenRow = numbers.get(numbers.size() - 1);
                   } else {
@@ -612,7 +637,7 @@
     return PREFIX + host + "." + number % ROWS;
   }
 
-  private OriginRow toRow(long number, Set<StreamOrigin> versions) {
+  private OriginRow toRow(long number, Set<StreamOrigin> versions, Set<Long> configurations) {
     Map<String, List<String>> software = new TreeMap<>();
     versions.forEach(
         o ->
@@ -627,6 +652,6 @@
     streams.forEach(
         (o, ids) -> s.add(new OriginRow.Streams(o.service(), o.softwareVersion(), ids)));
     long atMillis = Math.min(clock.millis(), (number + 1) * ROW_MILLIS - 1);
-    return new OriginRow(atMillis, v, s);
+    return new OriginRow(atMillis, v, s, Optional.of(List.copyOf(configurations)));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -1,12 +1,16 @@
 package org.hibiscusreel.coordination.forward;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.StoreClock;
+import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.VersionSightings;
@@ -30,6 +34,10 @@
   private final VersionSightings seen = new VersionSightings();
   private final VersionSightings recorded = new VersionSightings();
   private final PeerVersions peers = new PeerVersions();
+  private final Map<Long, Long> recordedConfigurations = new HashMap<>(); // last time by version
+  private long lastRowWithoutConfigurationsAtMillis = Long.MIN_VALUE / 2;
+  private long newestPeerConfiguration;
+  private long newestPeerConfigurationAtMillis;
   private long era;
   private long eraSinceMillis = Long.MAX_VALUE; // time of the store
   private long countedSinceMillis;
@@ -59,6 +67,16 @@
     peers.onReport(sender, versions, now);
   }
 
+  /** Records the version of the configuration that another daemon has confirmed lately. */
+  void onPeerConfiguration(long version) {
+    long now = scheduler.nowMillis();
+    if (version >= newestPeerConfiguration
+        || now - newestPeerConfigurationAtMillis > StreamOrigins.KEEP_MILLIS) {
+      newestPeerConfiguration = version;
+      newestPeerConfigurationAtMillis = now;
+    }
+  }
+
   /**
    * Records what a row says of the versions.
    *
@@ -69,6 +87,12 @@
     for (OriginRow.Versions v : row.versions()) {
       v.software().forEach(s -> recorded.add(new StreamOrigin(v.service(), s), atMillis));
     }
+    if (row.configurations().isEmpty()) {
+      lastRowWithoutConfigurationsAtMillis =
+          Math.max(lastRowWithoutConfigurationsAtMillis, atMillis);
+    }
+    row.configurations()
+        .ifPresent(c -> c.forEach(v -> recordedConfigurations.merge(v, atMillis, Math::max)));
   }
 
   /** Records what a row says of the era of the store. */
@@ -103,6 +127,7 @@
     long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
     seen.expire(oldest);
     recorded.expire(oldest - StreamOrigins.ROW_MILLIS);
+    recordedConfigurations.values().removeIf(at -> at < oldest - StreamOrigins.ROW_MILLIS);
     return seen.all();
   }
 
@@ -118,47 +143,74 @@
     mostDaemons = Math.max(mostDaemons, daemons.getAsInt());
   }
 
-  /** Returns the versions of a service at which a stream can have begun, as far as is known. */
-  Set<StreamOrigin> candidates(String service) {
+  /**
+   * Returns at what a stream can have begun, as far as is known.
+   *
+   * @param services services to which its route has led lately
+   */
+  Set<StreamOrigin> candidates(Set<String> services) {
     observe();
     long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
-    Set<StreamOrigin> candidates = seen.since(service, oldest);
-    candidates.addAll(recorded.since(service, oldest - StreamOrigins.ROW_MILLIS));
-    // Another daemon may go on using a version that the store no longer lists.
-    candidates.addAll(peers.versions(service, oldest));
+    Set<StreamOrigin> candidates = new HashSet<>();
+    for (String s : services) {
+      candidates.addAll(seen.since(s, oldest));
+      candidates.addAll(recorded.since(s, oldest - StreamOrigins.ROW_MILLIS));
+      // Another daemon may go on using a version that the store no longer lists.
+      candidates.addAll(peers.versions(s, oldest));
+    }
     return candidates;
   }
 
-  /** Returns whether streams of a service can have begun at several versions. */
-  boolean hasSeveral(String service) {
-    return candidates(service).size() > 1;
+  /**
+   * Returns whether the streams of a service need a record: they can have begun at several
+   * versions, or at another service.
+   */
+  boolean isAmbiguous(String service) {
+    return candidates(fleet.routes().servicesWith(service, scheduler.nowMillis())).size() > 1;
   }
 
   /**
-   * Concludes from the view of this daemon. It must have received all changes of the upstreams for
-   * as long as streams are kept, the last of them after the question.
+   * Concludes from the view of this daemon. It must have received all changes of the upstreams and
+   * of the configuration for as long as streams are kept, the last of them after the question.
    */
-  Optional<StreamOrigin> byView(String service) {
-    return hasLongView() ? only(service) : Optional.empty();
+  Optional<StreamOrigin> byView(Set<String> services) {
+    return hasLongView() && isConfigurationFollowed() ? only(services) : Optional.empty();
   }
 
   /**
    * Concludes from the rows of all daemons and the upstreams of now, both read after the question.
    * A store that was restored lately lacks rows.
    */
-  Optional<StreamOrigin> byRows(String service) {
-    boolean hasRows =
-        !recorded.since(service, scheduler.nowMillis() - StreamOrigins.ROWS_MILLIS).isEmpty();
-    return hasRows && isEraOld() ? only(service) : Optional.empty();
+  Optional<StreamOrigin> byRows(Set<String> services) {
+    long oldest = scheduler.nowMillis() - StreamOrigins.ROWS_MILLIS;
+    boolean hasRows = services.stream().anyMatch(s -> !recorded.since(s, oldest).isEmpty());
+    boolean areServicesKnown = isConfigurationFollowed() || hasOneConfiguration(oldest);
+    return hasRows && isEraOld() && areServicesKnown ? only(services) : Optional.empty();
+  }
+
+  /** Returns whether all rows name the configuration in force here as the only one. */
+  private boolean hasOneConfiguration(long oldestMillis) {
+    recordedConfigurations.values().removeIf(at -> at < oldestMillis);
+    return lastRowWithoutConfigurationsAtMillis < oldestMillis
+        && recordedConfigurations.keySet().equals(Set.of(configuration()));
   }
 
   /**
    * Concludes from the view of this daemon and the reports of most others, sent after the question.
    */
-  Optional<StreamOrigin> byPeers(String service, long askedAtMillis) {
+  Optional<StreamOrigin> byPeers(Set<String> services, long askedAtMillis) {
     observe();
-    boolean areMost = peers.areMost(service, askedAtMillis + REPORT_DELAY_MILLIS, daemonCount());
-    return areMost ? byView(service) : Optional.empty();
+    boolean areMost = peers.areMost(services, askedAtMillis + REPORT_DELAY_MILLIS, daemonCount());
+    return areMost && !isConfigurationOutdated() ? byView(services) : Optional.empty();
+  }
+
+  private boolean isConfigurationOutdated() {
+    return newestPeerConfiguration > configuration()
+        && scheduler.nowMillis() - newestPeerConfigurationAtMillis <= StreamOrigins.KEEP_MILLIS;
+  }
+
+  private long configuration() {
+    return fleet.table().map(ForwardingTable::version).orElse(0L);
   }
 
   /** Returns the highest number of daemons of late, with this one. */
@@ -166,21 +218,25 @@
     return Math.max(mostDaemons, mostDaemonsBefore);
   }
 
-  /** Returns how many other daemons have reported a version of a service lately. */
-  long reportingCount(String service) {
-    return peers.count(service, scheduler.nowMillis() - LoadExchange.HEARD_MILLIS);
+  /** Returns how many other daemons have reported a version of one of the services lately. */
+  long reportingCount(Set<String> services) {
+    return peers.count(services, scheduler.nowMillis() - LoadExchange.HEARD_MILLIS);
   }
 
   private boolean hasLongView() {
     return fleet.upstreamsFollowedMillis() >= StreamOrigins.KEEP_MILLIS;
   }
 
+  private boolean isConfigurationFollowed() {
+    return fleet.configurationFollowedMillis() >= StreamOrigins.KEEP_MILLIS;
+  }
+
   private boolean isEraOld() {
     return era == 0 || clock.millis() - eraSinceMillis >= StreamOrigins.ROWS_MILLIS;
   }
 
-  private Optional<StreamOrigin> only(String service) {
-    return Optional.of(candidates(service))
+  private Optional<StreamOrigin> only(Set<String> services) {
+    return Optional.of(candidates(services))
         .filter(c -> c.size() == 1)
         .map(c -> c.iterator().next());
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/ForwardHarness.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.coordination.testing.VirtualStoreClock;
@@ -25,6 +26,7 @@
 import org.hibiscusreel.core.forward.PromptShape;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
@@ -44,6 +46,7 @@
   final VirtualScheduler scheduler;
   final FakeTable table;
   final UpstreamCatalog upstreams = new UpstreamCatalog();
+  final RouteHistory routes = new RouteHistory();
   final List<Sent> sent = new ArrayList<>();
   final List<String> callerEvents = new ArrayList<>();
   final List<Map<String, Object>> logLines = new ArrayList<>();
@@ -52,10 +55,12 @@
   final PrepaidBudgets budgets;
   final UpstreamCrashes crashes;
   final Forwarder forwarder;
+  private final RouteTerms terms;
   Refusal refusal;
   boolean callerAcceptsMore = true;
   boolean isStoreReachable = true;
   Runnable onCatchUp = () -> {};
+  Runnable onConfigurationCatchUp = () -> {};
   boolean isIsolated;
   boolean areUpstreamsReached = true;
   boolean hasPath = true;
@@ -200,6 +205,15 @@
             new ForwardSettings("here", 0.2, 50, CONFIGURATION_BOUND_MILLIS),
             (event, fields) -> logLines.add(fields),
             () -> random.getAsLong());
+    this.terms = terms;
+    lead("s");
+    budgets.updateAccounts(current.accounts());
+  }
+
+  /** Puts a configuration into force in which the route leads to services, or is not there. */
+  void lead(String... services) {
+    List<WeightedService> weighted =
+        Arrays.stream(services).map(s -> new WeightedService(s, 1)).toList();
     Route route =
         new Route(
             "r",
@@ -211,20 +225,28 @@
             TARGET_MILLIS,
             MAX_PAUSE_MILLIS,
             1,
-            List.of(new WeightedService("s", 1)),
+            weighted,
             terms.maxAttempts(),
             false);
-    this.current = tableOf(route, List.of(new ForwardService("s", 10, 4, 0, TOKENS_PER_EVENT)));
-    budgets.updateAccounts(current.accounts());
+    long version = current == null ? 7 : current.version() + 1;
+    current =
+        tableOf(
+            version,
+            weighted.isEmpty() ? List.of() : List.of(route),
+            Stream.of("s", "t")
+                .map(s -> new ForwardService(s, 10, 4, 0, TOKENS_PER_EVENT))
+                .toList());
+    routes.onConfiguration(current, scheduler.nowMillis());
   }
 
-  private static ForwardingTable tableOf(Route route, List<ForwardService> services) {
+  private static ForwardingTable tableOf(
+      long version, List<Route> routes, List<ForwardService> services) {
     AccountSettings account =
         new AccountSettings(ACCOUNT, OptionalInt.empty(), OptionalLong.of(PREPAID_TOKENS));
     return new ForwardingTable(
-        7,
+        version,
         new CallerLimits(1, 1, 1),
-        List.of(route),
+        routes,
         services,
         List.of(account),
         Map.of("key", ACCOUNT));
@@ -232,7 +254,7 @@
 
   /** Replaces the configured services. */
   void setServices(List<ForwardService> services) {
-    current = tableOf(current.route("h", "/a/").orElseThrow(), services);
+    current = tableOf(current.version(), current.routes(), services);
   }
 
   Forwarder.Handle serve(CallerRequest request) {
@@ -327,6 +349,24 @@
     return Optional.ofNullable(current);
   }
 
+  @Override
+  public RouteHistory routes() {
+    return routes;
+  }
+
+  @Override
+  public long configurationFollowedMillis() {
+    return scheduler.nowMillis();
+  }
+
+  @Override
+  public CompletableFuture<Boolean> catchUpWithConfiguration(long timeoutMillis) {
+    if (isStoreReachable) {
+      onConfigurationCatchUp.run();
+    }
+    return CompletableFuture.completedFuture(isStoreReachable);
+  }
+
   @Override
   public UpstreamCatalog upstreams() {
     onUpstreamsRead.run();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,8 +25,8 @@
       peers.onReport("d" + i, List.of(version("v1")), 100);
     }
     peers.onReport("e", List.of(new StreamOrigin("t", "v1")), 100);
-    assertThat(peers.areMost("s", 99, daemons)).isEqualTo(expected);
-    assertThat(peers.areMost("s", 100, daemons)).isEqualTo(daemons == 1);
+    assertThat(peers.areMost(Set.of("s"), 99, daemons)).isEqualTo(expected);
+    assertThat(peers.areMost(Set.of("s"), 100, daemons)).isEqualTo(daemons == 1);
   }
 
   @Test
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -139,6 +139,46 @@
     }
   }
 
+  /**
+   * Guards against a stream that goes on at a service to which its route no longer leads, or at
+   * another one than its own.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "t, true, ",
+    "'t,s', true, u0",
+    "t s, true, u0",
+    "'', true, ",
+    "t, false, ",
+    "'t,s', false, u0"
+  })
+  void goesOnAtItsOwnServiceIfTheRouteLeadsThere(
+      String configurations, boolean isKnownBefore, String expected) {
+    list("u0", "v1");
+    harness.upstreams.put(new UpstreamEntry("u1", "t", "127.0.0.1:2", "here", false, 4, "v1", 0));
+    harness.origins.onBegun("id2", new StreamOrigin("s", "v1"));
+    harness.origins.start();
+    harness.scheduler.run(1_000);
+    Runnable move =
+        () -> {
+          for (String c : configurations.split(",", -1)) {
+            harness.lead(c.isEmpty() ? new String[0] : c.split(" ", -1));
+          }
+        };
+    if (isKnownBefore) {
+      move.run();
+    } else {
+      harness.onConfigurationCatchUp = move;
+    }
+    takeUp(isKnownBefore ? "id2" : "id9");
+    if (expected == null || !isKnownBefore) {
+      assertThat(harness.sent).isEmpty();
+      assertThat(harness.refusal.kind()).isIn(Refusal.Kind.NOT_RUN, Refusal.Kind.NO_ROUTE);
+    } else {
+      assertThat(harness.last().upstream.id()).isEqualTo(expected);
+    }
+  }
+
   /** Guards against a final refusal by a daemon that does not know the upstreams of now. */
   @ParameterizedTest
   @CsvSource({"true, 0", "false, 400"})
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -23,11 +23,16 @@
 import org.hibiscusreel.coordination.testing.FakeTable;
 import org.hibiscusreel.coordination.testing.VirtualScheduler;
 import org.hibiscusreel.coordination.testing.VirtualStoreClock;
+import org.hibiscusreel.core.forward.CallerLimits;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.RetryPolicy;
+import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.core.forward.WeightedService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -41,6 +46,7 @@
   private final FakeTable table = new FakeTable(scheduler);
   private final Map<String, Consumer<StreamReport>> receivers = new HashMap<>();
   private long era;
+  private String routedAtStart = "s";
 
   /** Table of a store that names its era. */
   private record EraTable(TableService table, LongSupplier eras) implements TableService {
@@ -71,7 +77,8 @@
 
     private final UpstreamCatalog catalog = new UpstreamCatalog();
     private final String host;
-    private final StreamOrigins origins;
+    private final RouteHistory routes = new RouteHistory();
+    private StreamOrigins origins;
     private final FakeStreamTransport transport;
     private final List<Map<String, Object>> lines = new ArrayList<>();
     private boolean alive = true;
@@ -79,6 +86,9 @@
     private boolean isStoreReachable = true;
     private boolean isInStep = true;
     private List<String> listed;
+    private ForwardingTable configured; // the newest one of the store
+    private ForwardingTable current;
+    private long configuredSinceMillis = scheduler.nowMillis();
     private long knownSinceMillis = scheduler.nowMillis();
 
     private Daemon(String host, List<String> versions) {
@@ -89,6 +99,7 @@
       this.host = host;
       transport = new FakeStreamTransport(receivers, host);
       use(versions);
+      lead(configuration(routedAtStart));
       origins =
           new StreamOrigins(
               new EraTable(new KillableTable(store, () -> alive && isStoreReachable), () -> era),
@@ -103,6 +114,25 @@
       origins.start();
     }
 
+    /** Lets the operator move the route, of which the daemon hears if it is in step. */
+    private void configure(String... services) {
+      configured = configuration(services);
+      if (isInStep) {
+        lead(configured);
+      }
+    }
+
+    private void lead(ForwardingTable table) {
+      configured = table;
+      if (current == null || current.version() != table.version()) {
+        current = table;
+        routes.onConfiguration(table, scheduler.nowMillis());
+        if (origins != null) {
+          origins.onConfiguration();
+        }
+      }
+    }
+
     /** Lets the store list versions, of which the daemon hears if it is in step. */
     private void follow(List<String> versions) {
       listed = List.copyOf(versions);
@@ -120,7 +150,7 @@
 
     private Found find(String request) {
       CompletableFuture<Found> found =
-          origins.find(Optional.ofNullable(request), "s", TIMEOUT_MILLIS);
+          origins.find(Optional.ofNullable(request), "h", "/a/x", TIMEOUT_MILLIS);
       scheduler.run(TIMEOUT_MILLIS);
       return found.join();
     }
@@ -132,7 +162,7 @@
 
     @Override
     public Optional<ForwardingTable> table() {
-      return Optional.empty();
+      return Optional.ofNullable(current);
     }
 
     @Override
@@ -145,6 +175,21 @@
       return 0;
     }
 
+    @Override
+    public RouteHistory routes() {
+      return routes;
+    }
+
+    @Override
+    public long configurationFollowedMillis() {
+      return scheduler.nowMillis() - configuredSinceMillis;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> catchUpWithConfiguration(long timeoutMillis) {
+      return catchUp(timeoutMillis, () -> lead(configured));
+    }
+
     @Override
     public UpstreamCatalog upstreams() {
       return catalog;
@@ -162,6 +207,10 @@
 
     @Override
     public CompletableFuture<Boolean> catchUpWithUpstreams(long timeoutMillis) {
+      return catchUp(timeoutMillis, () -> use(listed));
+    }
+
+    private CompletableFuture<Boolean> catchUp(long timeoutMillis, Runnable update) {
       CompletableFuture<Boolean> answer = new CompletableFuture<>();
       scheduler.schedule(timeoutMillis, () -> answer.complete(false));
       if (alive && isStoreReachable) {
@@ -169,7 +218,7 @@
             2,
             () -> {
               if (!table.isDown) {
-                use(listed);
+                update.run();
               }
               answer.complete(!table.isDown);
             });
@@ -183,12 +232,43 @@
     }
   }
 
+  /** Returns an upstream of the service s, or of another one that comes before a slash. */
   private static UpstreamEntry upstream(String version) {
-    return new UpstreamEntry("u-" + version, "s", "127.0.0.1:1", "d", false, 4, version, 0);
+    StreamOrigin o = origin(version);
+    return new UpstreamEntry(
+        "u-" + version, o.service(), "127.0.0.1:1", "d", false, 4, o.softwareVersion(), 0);
   }
 
   private static StreamOrigin origin(String version) {
-    return new StreamOrigin("s", version);
+    int slash = version.indexOf('/');
+    return slash < 0
+        ? new StreamOrigin("s", version)
+        : new StreamOrigin(version.substring(0, slash), version.substring(slash + 1));
+  }
+
+  /** Returns a configuration whose version tells the services to which the route leads. */
+  private static ForwardingTable configuration(String... services) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/a/",
+            RetryPolicy.RESUMABLE,
+            true,
+            8_000,
+            600,
+            250,
+            1,
+            Arrays.stream(services).map(s -> new WeightedService(s, 1)).toList(),
+            2,
+            false);
+    return new ForwardingTable(
+        List.of(services).hashCode() & Integer.MAX_VALUE,
+        new CallerLimits(1, 1, 1),
+        List.of(route),
+        List.of(),
+        List.of(),
+        Map.of());
   }
 
   /**
@@ -262,7 +342,7 @@
     Daemon d = new Daemon("a", List.of("v1", "v2"), slow);
     scheduler.run(1_000);
     slow.delayMillis = 0;
-    CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", 1_500);
+    CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "h", "/a/x", 1_500);
     scheduler.run(900);
     assertThat(found).isCompletedWithValue(new Found.Unknown());
   }
@@ -287,7 +367,8 @@
     table.isDown = true;
     // An earlier report tells nothing of streams that began since.
     d.origins.onPeerVersions("b", List.of(origin("v1")));
-    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", TIMEOUT_MILLIS);
+    final CompletableFuture<Found> found =
+        d.origins.find(Optional.of("id"), "h", "/a/x", TIMEOUT_MILLIS);
     // Nor does one that may have been sent before the question.
     d.origins.onPeerVersions("b", List.of(origin("v1")));
     scheduler.run(VersionEvidence.REPORT_DELAY_MILLIS + 50);
@@ -379,7 +460,7 @@
     scheduler.run(30_000);
     silent.delayMillis = 60_000;
     table.isDown = true;
-    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "s", 1_500);
+    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "h", "/a/x", 1_500);
     scheduler.run(300);
     d.origins.onPeerVersions("b", List.of(origin("v1")));
     scheduler.run(1_200);
@@ -398,7 +479,7 @@
     scheduler.run(500);
     slow.delayMillis = 600;
     second.isStoreReachable = false;
-    CompletableFuture<Found> found = second.origins.find(Optional.of("id"), "s", 1_500);
+    CompletableFuture<Found> found = second.origins.find(Optional.of("id"), "h", "/a/x", 1_500);
     second.isStoreReachable = true;
     scheduler.run(700);
     assertThat(found).isCompletedWithValue(new Found.Known(origin("v2")));
@@ -480,6 +561,60 @@
     assertThat(second.find("id")).isEqualTo(new Found.Known(origin("v1")));
   }
 
+  /**
+   * Guards against a stream that goes on at another service, since its route was moved while it
+   * ran: known to all, before its record was written, while the asked daemon is behind, has just
+   * started or can't ask the store, and while other daemons are behind.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "s, true, true, false, 1_000, 1_000, s/v1",
+    "s, true, true, false, 1_000, 10, ",
+    "s, true, true, false, 0, 10, ",
+    "s, true, true, false, 20_000, 10, ",
+    "s, true, true, true, 1_000, 10, ",
+    "s, true, true, true, 1_000, 1_000, s/v1",
+    "t, false, true, false, 1_000, 1_000, t/v1",
+    "t, false, true, false, 1_000, 10, ",
+    "t, false, false, false, 1_000, 1_000, t/v1",
+    "t, false, false, false, 1_000, 10, "
+  })
+  void concludesNoServiceFromOneConfigurationAlone(
+      String begunAt,
+      boolean isInStep,
+      boolean isStoreReachable,
+      boolean isStartedAfterMove,
+      String millisAfterMove,
+      String millisUntilKill,
+      String expected) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "t/v1"));
+    Daemon asked = new Daemon("b", List.of("v1", "t/v1"));
+    connect(List.of(first, asked));
+    scheduler.run(30_000);
+    asked.isInStep = isInStep;
+    asked.isStoreReachable = isStoreReachable;
+    first.isInStep = begunAt.equals("t");
+    first.configure("t");
+    asked.configure("t");
+    scheduler.run(Long.parseLong(millisAfterMove.replace("_", "")));
+    first.origins.onBegun("id", origin(begunAt + "/v1"));
+    scheduler.run(Long.parseLong(millisUntilKill.replace("_", "")));
+    first.kill();
+    if (isStartedAfterMove) {
+      asked.kill();
+      routedAtStart = "t";
+      asked = new Daemon("b", List.of("v1", "t/v1"));
+      scheduler.run(500);
+    }
+    Found found = asked.find("id");
+    if (expected == null) {
+      assertThat(found).isNotInstanceOf(Found.Known.class);
+    } else {
+      assertThat(found).isEqualTo(new Found.Known(origin(expected)));
+    }
+  }
+
   /** Guards against answers whose evidence, and its age, can't be told from the log. */
   @ParameterizedTest
   @CsvSource({"own, 31_000, 1", "record, 31_000, 1", "view, 31_000, 1", "none, 0, 0"})
@@ -663,7 +798,10 @@
       streams.forEach(
           (id, origin) -> {
             answers.add(
-                daemons.get(random.nextInt(3)).origins.find(Optional.of(id), "s", TIMEOUT_MILLIS));
+                daemons
+                    .get(random.nextInt(3))
+                    .origins
+                    .find(Optional.of(id), "h", "/a/x", TIMEOUT_MILLIS));
             expected.add(origin);
           });
       for (int i = 0; i < 4; i++) {
--- a/core/src/main/java/org/hibiscusreel/core/forward/ForwardingTable.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/ForwardingTable.java
@@ -72,13 +72,25 @@
    * @return the route, or empty if none matches
    */
   public Optional<Route> route(String host, String path) {
-    int colon = host.indexOf(':');
-    String name = colon < 0 ? host : host.substring(0, colon);
-    return routesByHost.getOrDefault(name, List.of()).stream()
+    return routesByHost.getOrDefault(withoutPort(host), List.of()).stream()
         .filter(r -> path.startsWith(r.pathPrefix()))
         .findFirst();
   }
 
+  static String withoutPort(String host) {
+    int colon = host.indexOf(':');
+    return colon < 0 ? host : host.substring(0, colon);
+  }
+
+  /**
+   * Returns all routes.
+   *
+   * @return the routes
+   */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /**
    * Tells whether callers need a key.
    *
--- a/core/src/main/java/org/hibiscusreel/core/forward/Route.java
+++ b/core/src/main/java/org/hibiscusreel/core/forward/Route.java
@@ -1,6 +1,8 @@
 package org.hibiscusreel.core.forward;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Configured route.
@@ -39,6 +41,15 @@
     services = List.copyOf(services);
   }
 
+  /**
+   * Returns the names of the services.
+   *
+   * @return a copy
+   */
+  public Set<String> serviceNames() {
+    return services.stream().map(WeightedService::service).collect(Collectors.toSet());
+  }
+
   /**
    * Chooses a service by weight.
    *
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -454,6 +454,7 @@
     @Override
     public void onVersion(long version) {
       fleet.onPeerVersion(version);
+      origins.onPeerConfiguration(version);
     }
 
     @Override
@@ -481,6 +482,7 @@
     @Override
     public void onConfiguration(ForwardingTable table) {
       budgets.updateAccounts(table.accounts());
+      origins.onConfiguration();
     }
 
     @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardServerTest.java
@@ -43,6 +43,7 @@
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.RetryPolicy;
 import org.hibiscusreel.core.forward.Route;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.UpstreamCatalog;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
@@ -145,6 +146,7 @@
   private final class Fleet implements FleetView {
 
     private final UpstreamCatalog catalog = new UpstreamCatalog();
+    private final RouteHistory routes = new RouteHistory();
     private final ForwardingTable table =
         new ForwardingTable(
             1,
@@ -155,6 +157,7 @@
             Map.of("key", "a"));
 
     Fleet() {
+      routes.onConfiguration(table, 0);
       String address = upstreamAddress.orElseGet(upstream::address);
       catalog.put(new UpstreamEntry("u", "s", address, "d", false, 1, 0));
     }
@@ -195,6 +198,21 @@
       return 0;
     }
 
+    @Override
+    public RouteHistory routes() {
+      return routes;
+    }
+
+    @Override
+    public long configurationFollowedMillis() {
+      return 0;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> catchUpWithConfiguration(long timeoutMillis) {
+      return CompletableFuture.completedFuture(true);
+    }
+
     @Override
     public long upstreamDataAgeMillis() {
       return 0;
