Count changes that may have been missed as a gap

What callers would see: a stream that began at a version that joined, served and left while a host stood still, or while its link to the store hung, goes on at another version at that host.

Cause: the host counts the time as followed without a gap although its one late answer may have only the newest change of a row. The removal of an upstream that was never listed was passed over. Conclusions from the view alone rest on that time.

Evidence: 3 of the 6 cases of knowsForHowLongNoChangeWasMissed were red before; FleetFollowerTest, FeedFollowerTest, StreamOriginsTest and StreamExchangeTest are green. That streams were joined on by this is not shown.

Nothing that daemons send each other or store changes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -126,7 +126,7 @@
 
   /**
    * Returns for how long all changes were received, in milliseconds, 0 if none were. A read of all
-   * rows begins it anew, since rows may have come and gone before.
+   * rows and a late answer begin it anew, since rows may have come and gone before.
    */
   long followedMillis() {
     return followedSinceMillis == NEVER ? 0 : scheduler.nowMillis() - followedSinceMillis;
@@ -269,6 +269,10 @@
       notifyListener(() -> listener.onFullRead(c.changes()));
     } else {
       isConfirmed = true;
+      if (!c.changes().isEmpty() && knowledgeAgeMillis() > OVERDUE_MILLIS) {
+        // The answer may have only the newest of several changes of a row.
+        onGap();
+      }
       knownAsOfMillis = Math.max(knownAsOfMillis, answeredAtEarliest(call, c));
       if (!c.changes().isEmpty()) {
         notifyListener(() -> listener.onChanges(c.changes()));
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -445,6 +445,8 @@
               "upstream_lapsed",
               Map.of("upstream", c.key(), "grace_ms", UpstreamCatalog.REMOVAL_GRACE_MILLIS));
         } else {
+          // Its version is not known.
+          upstreamRows.onGap();
           log.record("upstream_unseen", Map.of("upstream", c.key()));
         }
       }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -19,6 +19,7 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetFollowerTest {
@@ -311,6 +312,35 @@
     assertThat(versions).containsExactly(5L, 9L);
   }
 
+  /**
+   * Guards against conclusions from a time in which an upstream or a configuration may have come
+   * and gone unseen, since the store sent only the newest change of a row, or sent it late.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "upstreams, c, x, 0, true",
+    "upstreams, c, , 0, false",
+    "upstreams, b, , 0, true",
+    "upstreams, c, x, 3_000, false",
+    "configurations, config, 7, 0, true",
+    "configurations, config, 7, 3_000, false"
+  })
+  void knowsForHowLongNoChangeWasMissed(
+      String name, String row, String value, String millisLate, boolean isGapless) {
+    start();
+    scheduler.run(20_000);
+    feed.congestionMillis = Long.parseLong(millisLate.replace("_", ""));
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS);
+    feed.polls.get(name).add(changes(11, row, value));
+    scheduler.run(4_500);
+    feed.congestionMillis = 0;
+    long followedMillis =
+        name.equals("upstreams")
+            ? follower.upstreamsFollowedMillis()
+            : follower.configurationFollowedMillis();
+    assertThat(followedMillis >= 20_000).isEqualTo(isGapless);
+  }
+
   /** Guards against losing all upstreams that a read after an outage lacks. */
   @Test
   void keepsUpstreamsThatReadAfterAnOutageLacksBriefly() {
