Keep the versions that an earlier run of a host has recorded

What callers would see: a stream that began at a version that has left, at a host that was killed and started again, goes on at another version at a host that knows neither, if its caller names no request.

Cause: the new run writes into the row of the last four seconds again, with the versions that it has seen itself. Those of the earlier run are lost, and the rows count as complete.

Change: a host that starts takes over the versions and configurations of its own rows, with their age.

Two of the three cases of keepsWhatAnEarlierRunOfTheHostHasRecorded were red before.

Nothing that daemons send each other or store changes its form.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -556,6 +556,9 @@
     long atMillis = scheduler.nowMillis() - ageMillis;
     boolean isOwn = row.key().startsWith(PREFIX + host + ".");
     evidence.onRow(content, atMillis);
+    if (isOwn && !areOwnRowsKnown) {
+      evidence.onOwnRow(content, atMillis);
+    }
     for (OriginRow.Streams s : content.streams()) {
       StreamOrigin origin = new StreamOrigin(s.service(), s.software());
       for (String request : s.requests()) {
@@ -593,7 +596,7 @@
       isEraWritten = false;
     }
     Set<StreamOrigin> versions = seenVersions();
-    Set<Long> configurations = fleet.routes().versionsSince(scheduler.nowMillis() - KEEP_MILLIS);
+    Set<Long> configurations = evidence.servedConfigurations();
     // Without streams, too, the rows tell which versions were in use.
     boolean isNew = !versions.equals(written) || !configurations.equals(writtenConfigurations);
     if (isNew || writtenRow != currentRow()) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -35,6 +35,7 @@
   private final VersionSightings recorded = new VersionSightings();
   private final PeerVersions peers = new PeerVersions();
   private final Map<Long, Long> recordedConfigurations = new HashMap<>(); // last time by version
+  private final Map<Long, Long> earlierConfigurations = new HashMap<>(); // last time by version
   private long lastRowWithoutConfigurationsAtMillis = Long.MIN_VALUE / 2;
   private long newestPeerConfiguration;
   private long newestPeerConfigurationAtMillis;
@@ -102,6 +103,20 @@
     }
   }
 
+  /**
+   * Takes over what an earlier run of this host has recorded, since this run writes into its rows.
+   *
+   * @param row the row
+   * @param atMillis monotonic time at which it was written, in milliseconds
+   */
+  void onOwnRow(OriginRow row, long atMillis) {
+    for (OriginRow.Versions v : row.versions()) {
+      v.software().forEach(s -> seen.add(new StreamOrigin(v.service(), s), atMillis));
+    }
+    row.configurations()
+        .ifPresent(c -> c.forEach(v -> earlierConfigurations.merge(v, atMillis, Math::max)));
+  }
+
   /**
    * Records the era of the store.
    *
@@ -131,6 +146,15 @@
     return seen.all();
   }
 
+  /** Returns the versions of the configurations by which this host has served lately. */
+  Set<Long> servedConfigurations() {
+    long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
+    earlierConfigurations.values().removeIf(at -> at < oldest);
+    Set<Long> versions = fleet.routes().versionsSince(oldest);
+    versions.addAll(earlierConfigurations.keySet());
+    return versions;
+  }
+
   /** Notes the versions that the upstreams have now and the number of daemons. */
   private void observe() {
     long now = scheduler.nowMillis();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -497,6 +497,33 @@
     assertThat(d.find("id")).isEqualTo(new Found.Unknown());
   }
 
+  /**
+   * Guards against a host that starts again and overwrites what its earlier run has recorded of a
+   * version, or of a configuration, that is no longer in use.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, false", "false, true", "false, false"})
+  void keepsWhatAnEarlierRunOfTheHostHasRecorded(boolean isVersionGone, boolean isRouteMoved) {
+    scheduler.run(START_MILLIS);
+    final Daemon first =
+        new Daemon("a", isVersionGone ? List.of("v1", "v2") : List.of("v1", "t/v1"));
+    scheduler.run(1_000);
+    if (isRouteMoved) {
+      first.configure("t");
+      scheduler.run(500);
+      routedAtStart = "t";
+    }
+    first.kill();
+    final Daemon again = new Daemon("a", List.of("v1", "t/v1"));
+    scheduler.run(500);
+    again.kill();
+    Daemon asked = new Daemon("b", List.of("v1", "t/v1"));
+    scheduler.run(500);
+    assertThat(asked.find("id"))
+        .isEqualTo(
+            isVersionGone || isRouteMoved ? new Found.Unknown() : new Found.Known(origin("s/v1")));
+  }
+
   /** Guards against rows that are taken for proof although no stream began for a while. */
   @Test
   void recordsVersionsWithoutStreams() {
