Let only daemons that have run for a while confirm a version

What callers would see: a stream that began at a version that has left goes on at another one at a host that can't ask the store, since a daemon that has started lately confirms the only version that it has seen.

Cause: a report counted whatever time its sender knows of. In a fleet of three, one that had run for five seconds was a majority with the asked one.

Two tests let a daemon confirm that had not been heard before; they asserted the fault. They now hear it before, as daemons under load do, and one has a case with a daemon that has started lately, which was Known(v1) before.

Nothing that daemons send each other changes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -6,12 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hibiscusreel.core.forward.StreamOrigin;
 
 /** Versions of the upstreams that the other daemons have seen lately, as they report them. */
 final class PeerVersions {
 
-  private record Report(Set<StreamOrigin> versions, long atMillis) {}
+  private record Report(Set<StreamOrigin> versions, long atMillis, long firstAtMillis) {}
 
   private final Map<String, Report> bySender = new HashMap<>();
 
@@ -23,7 +24,9 @@
    * @param nowMillis monotonic time in milliseconds
    */
   void onReport(String sender, Collection<StreamOrigin> versions, long nowMillis) {
-    bySender.put(sender, new Report(Set.copyOf(versions), nowMillis));
+    Report earlier = bySender.get(sender);
+    long firstAtMillis = earlier == null ? nowMillis : earlier.firstAtMillis();
+    bySender.put(sender, new Report(Set.copyOf(versions), nowMillis, firstAtMillis));
   }
 
   /** Forgets the reports that were received before a time. */
@@ -33,14 +36,18 @@
 
   /**
    * Returns whether reports received after a time, with the view of this daemon, are those of most
-   * daemons. A daemon that hears fewer may be cut off with them from all that know of a version.
+   * daemons. A daemon that hears fewer may be cut off with them from all that know of a version. A
+   * daemon that has started lately does not know what was in use before.
    *
    * @param services names of services; a report without a version of one of them tells nothing
    * @param millis monotonic time in milliseconds
+   * @param runningSinceMillis time at which a sender must have been heard already, in milliseconds
    * @param daemons number of daemons, with this one
    */
-  boolean areMost(Set<String> services, long millis, int daemons) {
-    return 2 * (count(services, millis) + 1) > daemons;
+  boolean areMost(Set<String> services, long millis, long runningSinceMillis, int daemons) {
+    long telling =
+        telling(services, millis).filter(r -> r.firstAtMillis() <= runningSinceMillis).count();
+    return 2 * (telling + 1) > daemons;
   }
 
   /**
@@ -50,9 +57,7 @@
    * @param millis monotonic time in milliseconds
    */
   long count(Set<String> services, long millis) {
-    return since(millis).stream()
-        .filter(r -> r.versions().stream().anyMatch(v -> services.contains(v.service())))
-        .count();
+    return telling(services, millis).count();
   }
 
   /**
@@ -68,6 +73,11 @@
     return result;
   }
 
+  private Stream<Report> telling(Set<String> services, long millis) {
+    return since(millis).stream()
+        .filter(r -> r.versions().stream().anyMatch(v -> services.contains(v.service())));
+  }
+
   private List<Report> since(long millis) {
     return bySender.values().stream().filter(r -> r.atMillis() > millis).toList();
   }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
@@ -25,8 +25,13 @@
       peers.onReport("d" + i, List.of(version("v1")), 100);
     }
     peers.onReport("e", List.of(new StreamOrigin("t", "v1")), 100);
-    assertThat(peers.areMost(Set.of("s"), 99, daemons)).isEqualTo(expected);
-    assertThat(peers.areMost(Set.of("s"), 100, daemons)).isEqualTo(daemons == 1);
+    assertThat(peers.areMost(Set.of("s"), 99, 100, daemons)).isEqualTo(expected);
+    assertThat(peers.areMost(Set.of("s"), 100, 100, daemons)).isEqualTo(daemons == 1);
+    assertThat(peers.areMost(Set.of("s"), 99, 99, daemons)).isEqualTo(daemons == 1);
+    for (int i = 0; i < heard; i++) {
+      peers.onReport("d" + i, List.of(version("v1")), 200);
+    }
+    assertThat(peers.areMost(Set.of("s"), 199, 100, daemons)).isEqualTo(expected);
   }
 
   @Test
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -348,22 +348,26 @@
   }
 
   /**
-   * Guards against a false answer while the store can't be asked, and against a needless refusal.
+   * Guards against a false answer while the store can't be asked, also if only a daemon that has
+   * started lately confirms it, and against a needless refusal.
    */
   @ParameterizedTest
   @CsvSource({
-    "1_000, v1, false",
-    "30_000, v1, true",
-    "30_000, 'v1,v2', false",
-    "30_000, v2, false",
-    "30_000, '', false",
-    "30_000, , false"
+    "1_000, 1_000, v1, false",
+    "30_000, 30_000, v1, true",
+    "30_000, 10_000, v1, false",
+    "30_000, 30_000, 'v1,v2', false",
+    "30_000, 30_000, v2, false",
+    "30_000, 30_000, '', false",
+    "30_000, 30_000, , false"
   })
   void answersWithoutTheStoreOnlyWhatMostDaemonsConfirm(
-      String upMillis, String reported, boolean isKnown) {
+      String upMillis, String heardMillis, String reported, boolean isKnown) {
     scheduler.run(START_MILLIS);
     final Daemon d = new Daemon("a", List.of("v1"));
-    scheduler.run(Long.parseLong(upMillis.replace("_", "")));
+    long heard = Long.parseLong(heardMillis.replace("_", ""));
+    scheduler.run(Long.parseLong(upMillis.replace("_", "")) - heard);
+    runHearing(d, heard);
     table.isDown = true;
     // An earlier report tells nothing of streams that began since.
     d.origins.onPeerVersions("b", List.of(origin("v1")));
@@ -451,13 +455,21 @@
     assertThat(d.find("id")).isEqualTo(new Found.Unavailable());
   }
 
+  /** Lets a daemon hear the reports of another one. */
+  private void runHearing(Daemon daemon, long millis) {
+    for (long at = 0; at < millis; at += LoadExchange.REPEAT_INTERVAL_MILLIS) {
+      daemon.origins.onPeerVersions("b", List.of(origin("v1")));
+      scheduler.run(LoadExchange.REPEAT_INTERVAL_MILLIS);
+    }
+  }
+
   /** Guards against callers that wait in vain for peers while the store does not respond at all. */
   @Test
   void asksPeersWhileTheStoreIsSilent() {
     SlowTable silent = new SlowTable();
     scheduler.run(START_MILLIS);
     final Daemon d = new Daemon("a", List.of("v1"), silent);
-    scheduler.run(30_000);
+    runHearing(d, 30_000);
     silent.delayMillis = 60_000;
     table.isDown = true;
     final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "h", "/a/x", 1_500);
