--- a/bench-tools/src/main/java/org/hibiscusreel/bench/explore/TraceShrinker.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/explore/TraceShrinker.java
@@ -30,7 +30,16 @@
     return new Trace(trace.topology(), arrivals, faults);
   }
 
-  private static <T> List<T> removeBlocks(List<T> all, int block, Predicate<List<T>> fails) {
+  /**
+   * Removes blocks of elements as long as the rest still fails.
+   *
+   * @param all elements that fail together
+   * @param block number of elements that are removed at a time
+   * @param fails returns whether elements fail
+   * @param <T> type of the elements
+   * @return the elements that are left, which fail
+   */
+  public static <T> List<T> removeBlocks(List<T> all, int block, Predicate<List<T>> fails) {
     List<T> kept = new ArrayList<>(all);
     int i = 0;
     while (i < kept.size()) {
