Record a version before streams begin at its upstreams

What callers would see: a stream that began at a version that has left since goes on at another one, if its daemon was killed or lost the store within a quarter of a second after that version was listed, and nobody else in step has recorded it.

Cause: the rows of all daemons count as a complete list of the versions in use, but a daemon used a version up to an interval before its row named it.

Change: the row is written at once when a version is listed for the first time, in fleets of up to 20 daemons, and streams begin at versions that the rows of their daemon name while such an upstream is free. Without one, others are used as before, so that nothing is refused.

One of three cases of beginsStreamsAtRecordedVersions was red without the change of ForwardTask; StreamOriginsTest and PinnedStreamsTest are green.

Nothing that daemons send each other or store changes its form.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -415,8 +415,24 @@
   }
 
   private Optional<UpstreamSelector.Choice> chooseUpstream() {
+    Optional<UpstreamSelector.Choice> recorded =
+        mayBeginResumableStream()
+            ? chooseUpstream(u -> isEligible(u) && isRecorded(u))
+            : Optional.empty();
+    return recorded.or(() -> chooseUpstream(this::isEligible));
+  }
+
+  private Optional<UpstreamSelector.Choice> chooseUpstream(Predicate<UpstreamEntry> isEligible) {
     return forwarder.chooseUpstream(
-        service.name(), request.prompt(), this::isEligible, maxFirstEventMillis());
+        service.name(), request.prompt(), isEligible, maxFirstEventMillis());
+  }
+
+  private boolean mayBeginResumableStream() {
+    return origin.isEmpty() && route.retryPolicy() == RetryPolicy.RESUMABLE;
+  }
+
+  private boolean isRecorded(UpstreamEntry upstream) {
+    return forwarder.origins().isRecorded(StreamOrigin.of(upstream));
   }
 
   /** Returns how late the first event may be expected, which no longer matters once one came. */
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -174,7 +174,7 @@
   private final StreamExchange exchange;
   private final ReportedUpstreams reported = new ReportedUpstreams();
   private final List<Lookup> lookups = new ArrayList<>();
-  private Set<StreamOrigin> written = Set.of();
+  private Set<StreamOrigin> written = Set.of(); // versions that the newest row names
   private Set<Long> writtenConfigurations = Set.of();
   private Cancellable nextRead = () -> {};
   private boolean isReading;
@@ -283,10 +283,24 @@
     boolean isNew = evidence.onListed(upstream);
     if (isNew) {
       exchange.onVersionsChanged();
+      if (writeIntervalMillis() == MIN_WRITE_INTERVAL_MILLIS) {
+        // The daemons of a large fleet together would exceed what the store takes.
+        scheduler.schedule(0, this::writeChanges);
+      }
     }
     return isNew;
   }
 
+  /**
+   * Returns whether the rows of this daemon name a version. Streams should begin only at such
+   * upstreams: where no row names a version, other daemons conclude that no stream began at it.
+   *
+   * @param origin service and version
+   */
+  boolean isRecorded(StreamOrigin origin) {
+    return written.contains(origin);
+  }
+
   /**
    * Returns the versions that this daemon has seen lately, for reports to the others.
    *
@@ -586,6 +600,13 @@
       return;
     }
     scheduler.schedule(writeIntervalMillis(), this::writeAll);
+    writeChanges();
+  }
+
+  private void writeChanges() {
+    if (stopped) {
+      return;
+    }
     expire();
     long oldest = currentRow() - ROWS + 1;
     ownRows.headMap(oldest).clear();
@@ -593,6 +614,7 @@
     if (evidence.onEra(table.era())) {
       unwritten.addAll(ownRows.keySet());
       writtenRow = -1;
+      written = Set.of();
       isEraWritten = false;
     }
     Set<StreamOrigin> versions = seenVersions();
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -179,6 +179,25 @@
     }
   }
 
+  /**
+   * Guards against a stream that begins at a version of which no other host could learn if this one
+   * ended now, and against a request that is refused because no version is recorded.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 0, u0", "true, 1000, u1", "false, 0, u1"})
+  void beginsStreamsAtRecordedVersions(boolean hasEarlier, long millis, String expected) {
+    if (hasEarlier) {
+      list("u0", "v1");
+    }
+    harness.origins.start();
+    harness.scheduler.run(20_000);
+    harness.serve(ForwardHarness.prompt("p"));
+    list("u1", "v2");
+    harness.scheduler.run(millis);
+    harness.serve(ForwardHarness.prompt("q"));
+    assertThat(harness.last().upstream.id()).isEqualTo(expected);
+  }
+
   /** Guards against a final refusal by a daemon that does not know the upstreams of now. */
   @ParameterizedTest
   @CsvSource({"true, 0", "false, 400"})
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -536,6 +536,26 @@
             isVersionGone || isRouteMoved ? new Found.Unknown() : new Found.Known(origin("s/v1")));
   }
 
+  /** Guards against a version that is in use for long before any other host can learn of it. */
+  @Test
+  void recordsNewVersionAtOnce() {
+    scheduler.run(START_MILLIS);
+    Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(1_000);
+    d.follow(List.of("v1", "v2"));
+    d.origins.onListed(upstream("v2"));
+    assertThat(d.origins.isRecorded(origin("v2"))).isFalse();
+    scheduler.run(StreamOrigins.MIN_WRITE_INTERVAL_MILLIS / 5);
+    assertThat(d.origins.isRecorded(origin("v2"))).isTrue();
+    era++;
+    scheduler.run(StreamOrigins.MIN_WRITE_INTERVAL_MILLIS);
+    assertThat(d.origins.isRecorded(origin("v2"))).isTrue();
+    table.isDown = true;
+    era++;
+    scheduler.run(StreamOrigins.MIN_WRITE_INTERVAL_MILLIS);
+    assertThat(d.origins.isRecorded(origin("v2"))).isFalse();
+  }
+
   /** Guards against rows that are taken for proof although no stream began for a while. */
   @Test
   void recordsVersionsWithoutStreams() {
