Compare the origins of streams in logs of daemons

On-call engineers could not tell a joined stream from a sound one by the logs: the lines stream_origin and request have the fields since the last change, but of several daemons, and one request names another.

hibiscusreelctl streams compare FILE... reads the lines twice, first for take-ups, conclusions and upstreams, then for the requests that take-ups name, and lists take-ups and conclusions whose service or version is another one than that of the first request. It counts take-ups by cause and source, and those that can't be compared. Memory grows with take-ups (200,000 at most) and upstreams (500,000 at most); beyond that it exits with 2 instead of judging a part.

--- a/ctl/src/main/java/org/hibiscusreel/ctl/HibiscusreelCtl.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/HibiscusreelCtl.java
@@ -20,6 +20,7 @@
 import org.hibiscusreel.ctl.command.ReportCommand;
 import org.hibiscusreel.ctl.command.RequestCommands;
 import org.hibiscusreel.ctl.command.ShowCommand;
+import org.hibiscusreel.ctl.command.StreamCommands;
 import org.hibiscusreel.ctl.command.TimelineCommand;
 import org.hibiscusreel.ctl.command.UpstreamCommands;
 import org.hibiscusreel.ctl.platform.PlatformClient;
@@ -151,6 +152,8 @@
     addCommand(hosts, "confirm-dead", new HostCommands.ConfirmDead());
     JCommander requests = addGroup(root, "requests");
     addCommand(requests, "show", new RequestCommands.Show());
+    JCommander streams = addGroup(root, "streams");
+    addCommand(streams, "compare", new StreamCommands.Compare());
     addCommand(root, "timeline", new TimelineCommand());
     addCommand(root, "report", new ReportCommand());
     return root;
--- a/ctl/src/test/java/org/hibiscusreel/ctl/HibiscusreelCtlTest.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/HibiscusreelCtlTest.java
@@ -74,6 +74,7 @@
             "hosts list",
             "hosts confirm-dead",
             "requests show",
+            "streams compare",
             "timeline",
             "report")) {
       assertThat(run((command + " --help").split(" ", -1))).as(command).isZero();
