--- a/ctl/src/main/java/org/hibiscusreel/ctl/command/StreamCommands.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/StreamCommands.java
@@ -59,7 +59,7 @@
       streams.forEach(s -> s.uncertain().forEach(context::print));
       List<String> differences = streams.stream().flatMap(s -> s.differences().stream()).toList();
       differences.forEach(context::print);
-      context.printMessage(differences.size() + " differences");
+      context.printMessage("differences: " + differences.size());
       return differences.isEmpty() ? ExitCodes.OK : ExitCodes.FAILURE;
     }
 
--- a/ctl/src/test/java/org/hibiscusreel/ctl/streams/OutOfStepDaemons.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/streams/OutOfStepDaemons.java
@@ -74,6 +74,7 @@
           List.of(),
           Map.of());
 
+  private static final long MAX_TASKS = 10_000;
   private static final Map<Class<?>, Object> NONE =
       Map.of(
           long.class,
@@ -92,6 +93,7 @@
 
   private final TreeMap<Long, Runnable> tasks = new TreeMap<>();
   private long nowMillis = 1_000;
+  private int count;
   private final Scheduler scheduler =
       stub(
           Scheduler.class,
@@ -229,21 +231,16 @@
   }
 
   private Cancellable schedule(long delayMillis, Runnable action) {
-    long atMillis = nowMillis + delayMillis;
-    Runnable before = tasks.getOrDefault(atMillis, () -> {});
-    tasks.put(
-        atMillis,
-        () -> {
-          before.run();
-          action.run();
-        });
-    return () -> {};
+    // Tasks of the same time run in the order in which they were scheduled.
+    long key = (nowMillis + delayMillis) * MAX_TASKS + count++;
+    tasks.put(key, action);
+    return () -> tasks.remove(key);
   }
 
   private void run() {
     long end = nowMillis + 3_000;
-    while (!tasks.isEmpty() && tasks.firstKey() <= end) {
-      nowMillis = tasks.firstKey();
+    while (!tasks.isEmpty() && tasks.firstKey() / MAX_TASKS <= end) {
+      nowMillis = tasks.firstKey() / MAX_TASKS;
       tasks.pollFirstEntry().getValue().run();
     }
   }
