Count take-ups that name no request, and find their conclusions at once

A take-up whose caller names no request can't be compared, but the summary of streams compare did not count it: a log of 199,999 such take-ups was reported as nothing compared and nothing missing. The conclusion of each one was sought among all that name no request, in time that grows with the square of their number.

The summary has their number now, and the last conclusion of each daemon is kept for them. More take-ups than are kept end the command in a test as well.

--- a/ctl/src/main/java/org/hibiscusreel/ctl/command/StreamCommands.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/StreamCommands.java
@@ -95,7 +95,9 @@
               + ", first request not in the logs: "
               + Collections.frequency(all, Comparison.WITHOUT_FIRST_REQUEST)
               + ", version not in the logs: "
-              + Collections.frequency(all, Comparison.UNKNOWN));
+              + Collections.frequency(all, Comparison.UNKNOWN)
+              + ", first request not named: "
+              + counts.unnamed());
     }
 
     private static void print(CommandContext context, String name, Map<String, Long> counts) {
--- a/ctl/src/main/java/org/hibiscusreel/ctl/streams/StreamAudit.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/streams/StreamAudit.java
@@ -51,6 +51,7 @@
   private final List<TakeUp> takeUps = new ArrayList<>();
   private final Map<String, String> resumedBy = new HashMap<>();
   private final Map<String, List<OriginLine>> conclusions = new LinkedHashMap<>();
+  private final Map<String, OriginLine> lastUnnamed = new HashMap<>();
   private final Map<String, List<RequestLine>> first = new HashMap<>();
   private final Set<String> named = new HashSet<>();
   private final TakeUpCounts counts = new TakeUpCounts();
@@ -116,7 +117,11 @@
     if (conclusionCount++ >= 2 * MAX_TAKE_UPS) {
       throw new TooManyException("conclusions", 2 * MAX_TAKE_UPS);
     }
-    conclusions.computeIfAbsent(line.request(), r -> new ArrayList<>(1)).add(line);
+    if (line.request().isEmpty()) {
+      lastUnnamed.put(line.daemon(), line);
+    } else {
+      conclusions.computeIfAbsent(line.request(), r -> new ArrayList<>(1)).add(line);
+    }
     return true;
   }
 
@@ -124,10 +129,7 @@
     if (takeUps.size() >= MAX_TAKE_UPS) {
       throw new TooManyException("take-ups", MAX_TAKE_UPS);
     }
-    Optional<OriginLine> conclusion =
-        conclusions.getOrDefault(line.resumes(), List.of()).stream()
-            .filter(c -> c.daemon().equals(line.daemon()))
-            .reduce((a, b) -> b);
+    Optional<OriginLine> conclusion = lastConclusion(line);
     counts.onTakeUp(line, conclusion);
     takeUps.add(new TakeUp(line, conclusion));
     if (!line.resumes().isEmpty()) {
@@ -137,6 +139,20 @@
     return true;
   }
 
+  /** Returns the last conclusion of the daemon of a take-up before it. */
+  private Optional<OriginLine> lastConclusion(RequestLine line) {
+    if (line.resumes().isEmpty()) {
+      return Optional.ofNullable(lastUnnamed.get(line.daemon()));
+    }
+    List<OriginLine> all = conclusions.getOrDefault(line.resumes(), List.of());
+    for (int i = all.size() - 1; i >= 0; i--) {
+      if (all.get(i).daemon().equals(line.daemon())) {
+        return Optional.of(all.get(i));
+      }
+    }
+    return Optional.empty();
+  }
+
   private boolean addFirst(RequestLine line) {
     if (named.contains(line.id()) && line.events() > 0) {
       List<RequestLine> all = first.computeIfAbsent(line.id(), i -> new ArrayList<>(1));
@@ -165,10 +181,8 @@
     Map<String, TakenUpStream> streams = new TreeMap<>();
     conclusions.forEach(
         (request, all) -> {
-          if (!request.isEmpty()) {
-            TakenUpStream s = streams.computeIfAbsent(firstOf(request), TakenUpStream::new);
-            all.forEach(s::addConclusion);
-          }
+          TakenUpStream s = streams.computeIfAbsent(firstOf(request), TakenUpStream::new);
+          all.forEach(s::addConclusion);
         });
     for (TakeUp t : takeUps) {
       String resumes = t.line().resumes();
--- a/ctl/src/main/java/org/hibiscusreel/ctl/streams/TakeUpCounts.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/streams/TakeUpCounts.java
@@ -27,9 +27,13 @@
   private final Map<String, Long> sources = new TreeMap<>();
   private long takeUps;
   private long complete;
+  private long unnamed;
 
   void onTakeUp(RequestLine line, Optional<OriginLine> conclusion) {
     takeUps++;
+    if (line.resumes().isEmpty() && line.events() > 0) {
+      unnamed++;
+    }
     if (line.outcome().equals(RequestLine.COMPLETE)) {
       complete++;
       return;
@@ -78,6 +82,16 @@
     return complete;
   }
 
+  /**
+   * Returns the number of take-ups with events whose caller named no request, so that they can't be
+   * compared.
+   *
+   * @return 0 or more
+   */
+  public long unnamed() {
+    return unnamed;
+  }
+
   /**
    * Returns the numbers of take-ups that were refused, by cause and source of the origin.
    *
--- a/ctl/src/test/java/org/hibiscusreel/ctl/streams/StreamAuditTest.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/streams/StreamAuditTest.java
@@ -1,9 +1,11 @@
 package org.hibiscusreel.ctl.streams;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -70,4 +72,16 @@
     assertThat(audit.compare().values().stream().flatMap(s -> s.uncertain().stream()))
         .hasSize(log.contains("upstream v1") ? 1 : 0);
   }
+
+  /** Guards against memory that grows with the logs, and a verdict on a part of the take-ups. */
+  @Test
+  void refusesMoreTakeUpsThanItKeeps() {
+    StreamAudit audit = new StreamAudit();
+    String takeUp = line("take x f v1");
+    for (int i = 0; i < StreamAudit.MAX_TAKE_UPS; i++) {
+      audit.collect(takeUp);
+    }
+    assertThatThrownBy(() -> audit.collect(takeUp))
+        .isInstanceOf(StreamAudit.TooManyException.class);
+  }
 }
--- a/ctl/src/test/java/org/hibiscusreel/ctl/streams/TakeUpCountsTest.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/streams/TakeUpCountsTest.java
@@ -42,4 +42,15 @@
         .containsEntry("other causes", (long) TakeUpCounts.MAX_CAUSES);
     assertThat(counts.ended()).isEqualTo(Map.of("caller gone (source: not logged)", 1L));
   }
+
+  /** Guards against take-ups that can't be compared and are not counted as such. */
+  @ParameterizedTest
+  @CsvSource({"'', 3, 1", "'', 0, 0", "f, 3, 0"})
+  void countsTakeUpsThatNameNoRequest(String resumes, long events, long unnamed) {
+    TakeUpCounts counts = new TakeUpCounts();
+    counts.onTakeUp(
+        new RequestLine(1, "x", "d", resumes, "s", "v1", List.of(), events, "complete", ""),
+        Optional.empty());
+    assertThat(counts.unnamed()).isEqualTo(unnamed);
+  }
 }
