Take no stream up whose origin daemons dispute

What callers would see: a stream that one daemon has taken up at a wrong version goes on at either, by chance of which daemon is heard first.

Cause: of two origins that daemons name for one request, the first to come was used and the second dropped without a line in the log.

Change: such a stream is not taken up any more, and stream_origin_disputed names both origins and their sources.

Evidence: two of the three cases of namesNoOriginThatIsDisputed are red if the first origin is used, as before.

Nothing that daemons send each other or store changes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -126,7 +126,12 @@
     PEERS
   }
 
-  private record Begun(StreamOrigin origin, long atMillis, Source source) {}
+  private record Begun(StreamOrigin origin, long atMillis, Source source, boolean isDisputed) {
+
+    Found found() {
+      return isDisputed ? new Found.Unknown() : new Found.Known(origin);
+    }
+  }
 
   private record Lookup(
       Supplier<Set<String>> services,
@@ -262,7 +267,9 @@
     if (request.isEmpty() || request.length() > MAX_ID_LENGTH) {
       return;
     }
-    keep(request, new Begun(origin, scheduler.nowMillis(), Source.OWN));
+    // The oldest record comes first, so that expired ones are found without a search.
+    known.remove(request);
+    known.put(request, new Begun(origin, scheduler.nowMillis(), Source.OWN, false));
     exchange.onBegun(request, origin);
     long number = currentRow();
     Map<String, StreamOrigin> row = ownRows.computeIfAbsent(number, n -> new LinkedHashMap<>());
@@ -338,8 +345,7 @@
   private void onPeerStreams(StreamReport report) {
     long now = scheduler.nowMillis();
     for (StreamReport.Streams s : report.streams()) {
-      Begun begun = new Begun(s.origin(), now, Source.REPORT);
-      s.requests().forEach(r -> known.putIfAbsent(r, begun));
+      s.requests().forEach(r -> learn(r, s.origin(), now, Source.REPORT));
     }
     report.upstreams().forEach(u -> reported.add(u, now));
     List.copyOf(lookups).forEach(this::endIfKnown);
@@ -355,10 +361,29 @@
     return reported.continuing(origin, scheduler.nowMillis());
   }
 
-  private void keep(String request, Begun begun) {
-    // The oldest record comes first, so that expired ones are found without a search.
-    known.remove(request);
-    known.put(request, begun);
+  /**
+   * Records what another daemon says of a stream. Where two name different origins, one of them has
+   * gone on with it wrongly.
+   */
+  private void learn(String request, StreamOrigin origin, long atMillis, Source source) {
+    Begun earlier = known.putIfAbsent(request, new Begun(origin, atMillis, source, false));
+    if (earlier == null || earlier.origin().equals(origin) || earlier.isDisputed()) {
+      return;
+    }
+    known.put(request, new Begun(earlier.origin(), earlier.atMillis(), earlier.source(), true));
+    log.record(
+        "stream_origin_disputed",
+        Map.of(
+            "request",
+            request,
+            "origins",
+            List.of(earlier.origin().toString(), origin.toString()),
+            "sources",
+            List.of(nameOf(earlier.source()), nameOf(source))));
+  }
+
+  private static String nameOf(Source source) {
+    return source.name().toLowerCase(Locale.ROOT);
   }
 
   private long currentRow() {
@@ -381,7 +406,7 @@
         () -> fleet.routes().services(host, path, scheduler.nowMillis());
     Optional<Begun> begun = request.map(known::get);
     if (begun.isPresent()) {
-      Found found = new Found.Known(begun.get().origin());
+      Found found = begun.get().found();
       record(request, services.get(), found, begun.get().source(), 0);
       return CompletableFuture.completedFuture(found);
     }
@@ -412,7 +437,7 @@
     fields.put(
         "candidates",
         evidence.candidates(services).stream().map(StreamOrigin::softwareVersion).toList());
-    fields.put("source", source.name().toLowerCase(Locale.ROOT));
+    fields.put("source", nameOf(source));
     fields.put("took_ms", tookMillis);
     fields.put("upstreams_age_ms", fleet.upstreamDataAgeMillis());
     fields.put("followed_ms", fleet.upstreamsFollowedMillis());
@@ -495,10 +520,7 @@
   }
 
   private void endIfKnown(Lookup lookup) {
-    lookup
-        .request()
-        .map(known::get)
-        .ifPresent(b -> end(lookup, new Found.Known(b.origin()), b.source()));
+    lookup.request().map(known::get).ifPresent(b -> end(lookup, b.found(), b.source()));
   }
 
   /** Ends a read once both the rows and the upstreams of now are known, or can't be. */
@@ -576,7 +598,7 @@
     for (OriginRow.Streams s : content.streams()) {
       StreamOrigin origin = new StreamOrigin(s.service(), s.software());
       for (String request : s.requests()) {
-        known.putIfAbsent(request, new Begun(origin, atMillis, Source.RECORD));
+        learn(request, origin, atMillis, Source.RECORD);
         if (isOwn && !areOwnRowsKnown) {
           // An earlier run of this host has written into the row.
           ownRows
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -674,6 +674,27 @@
     }
   }
 
+  /** Guards against a stream that goes on although daemons tell of different origins. */
+  @ParameterizedTest
+  @CsvSource({"v1, v1, true", "v1, v2, false", "v2, v1, false"})
+  void namesNoOriginThatIsDisputed(String reported, String recorded, boolean isKnown) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "v2"));
+    final Daemon asked = new Daemon("b", List.of("v1", "v2"));
+    scheduler.run(1_000);
+    receivers
+        .get("b")
+        .accept(
+            new StreamReport(
+                List.of(new StreamReport.Streams(origin(reported), List.of("id"))), List.of()));
+    first.origins.onBegun("id", origin(recorded));
+    scheduler.run(1_000);
+    // The rows are read for the stream that is not known.
+    asked.find("other");
+    assertThat(asked.find("id"))
+        .isEqualTo(isKnown ? new Found.Known(origin(reported)) : new Found.Unknown());
+  }
+
   /** Guards against answers whose evidence, and its age, can't be told from the log. */
   @ParameterizedTest
   @CsvSource({"own, 31_000, 1", "record, 31_000, 1", "view, 31_000, 1", "none, 0, 0"})
