Take no majority for all daemons where the store can't be asked

Cause: without the store, most daemons confirmed the only version that they knew, and the one that knew of the other had ended.

Change: all daemons, by the highest number of late, must confirm. So that streams of a daemon that has ended still go on, a daemon whose records can't be written reports its streams to the others, also while one version is in use.

Evidence: needsReportsOfTheDaemonThatHasEnded and both cases of reportsStreamsWhoseRecordsAreNotWritten were red before.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/PeerVersions.java
@@ -35,19 +35,19 @@
   }
 
   /**
-   * Returns whether reports received after a time, with the view of this daemon, are those of most
-   * daemons. A daemon that hears fewer may be cut off with them from all that know of a version. A
-   * daemon that has started lately does not know what was in use before.
+   * Returns whether reports received after a time, with the view of this daemon, are those of all
+   * daemons. One that is not heard may have been the only one that knew of a version. A daemon that
+   * has started lately does not know what was in use before.
    *
    * @param services names of services; a report without a version of one of them tells nothing
    * @param millis monotonic time in milliseconds
    * @param runningSinceMillis time at which a sender must have been heard already, in milliseconds
    * @param daemons number of daemons, with this one
    */
-  boolean areMost(Set<String> services, long millis, long runningSinceMillis, int daemons) {
+  boolean areAll(Set<String> services, long millis, long runningSinceMillis, int daemons) {
     long telling =
         telling(services, millis).filter(r -> r.firstAtMillis() <= runningSinceMillis).count();
-    return 2 * (telling + 1) > daemons;
+    return telling + 1 >= daemons;
   }
 
   /**
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamExchange.java
@@ -17,8 +17,8 @@
 
 /**
  * Tells the other daemons at which version of a service the streams of this daemon have begun,
- * while they can have begun at several versions or services. A daemon that can't ask the store
- * needs it once this one has ended. Used only on the event loop thread.
+ * while they have to know. A daemon that can't ask the store needs it once this one has ended. Used
+ * only on the event loop thread.
  */
 final class StreamExchange {
 
@@ -81,7 +81,7 @@
   private final Scheduler scheduler;
   private final StreamTransport transport;
   private final FleetView fleet;
-  private final Predicate<String> isAmbiguous;
+  private final Predicate<String> isNeeded;
   private final Map<String, Pending> pending = new LinkedHashMap<>();
   private final Map<String, Listed> listed = new HashMap<>();
   private List<String> peers = List.of();
@@ -96,18 +96,14 @@
    * @param scheduler clock and delayed tasks
    * @param transport sends the reports
    * @param fleet known upstreams
-   * @param isAmbiguous tells whether streams of a service can have begun at several versions, or at
-   *     another service, as far as others know
+   * @param isNeeded tells whether the others have to know of the streams of a service
    */
   StreamExchange(
-      Scheduler scheduler,
-      StreamTransport transport,
-      FleetView fleet,
-      Predicate<String> isAmbiguous) {
+      Scheduler scheduler, StreamTransport transport, FleetView fleet, Predicate<String> isNeeded) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.transport = Objects.requireNonNull(transport, "transport");
     this.fleet = Objects.requireNonNull(fleet, "fleet");
-    this.isAmbiguous = Objects.requireNonNull(isAmbiguous, "isAmbiguous");
+    this.isNeeded = Objects.requireNonNull(isNeeded, "isNeeded");
   }
 
   /** Stops sending reports. */
@@ -177,7 +173,7 @@
     long nextDueAtMillis = Long.MAX_VALUE;
     for (Map.Entry<String, Pending> e : pending.entrySet()) {
       Pending p = e.getValue();
-      if (!needed.computeIfAbsent(p.origin.service(), isAmbiguous::test)) {
+      if (!needed.computeIfAbsent(p.origin.service(), isNeeded::test)) {
         continue;
       }
       if (p.dueAtMillis <= now && count < MAX_STREAMS) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -34,7 +34,8 @@
  * Knows at which version of a service the streams of the last seconds have begun, also those of
  * daemons that have ended. Each daemon records its streams in the store, a few times a second, in
  * rows of a few seconds each that it uses again in turn. It also reports them to the other daemons
- * while several versions are in use. Used only on the event loop thread.
+ * while several versions are in use or the records can't be written. Used only on the event loop
+ * thread.
  */
 public final class StreamOrigins {
 
@@ -56,6 +57,9 @@
   /** Least interval in milliseconds at which new records are written. */
   static final long MIN_WRITE_INTERVAL_MILLIS = 250;
 
+  /** Time in milliseconds after which a write counts as one that fails. */
+  static final long MAX_WRITE_MILLIS = 400;
+
   /** Fraction of the store's write rate that the records of all daemons may use. */
   static final double WRITE_FRACTION = 0.1;
 
@@ -122,7 +126,7 @@
     ROWS,
     /** The view of this daemon alone. */
     VIEW,
-    /** The view of this daemon and the reports of most others. */
+    /** The view of this daemon and the reports of all others. */
     PEERS
   }
 
@@ -185,6 +189,8 @@
   private boolean isReading;
   private boolean isReadScheduled;
   private boolean isWriting;
+  private boolean isStoreLost; // the last write has failed or takes long
+  private long writeBeganAtMillis;
   private boolean areOwnRowsKnown;
   private long readBeganAtMillis = Long.MIN_VALUE / 2;
   private long readMillis; // duration of the last read
@@ -226,7 +232,7 @@
     this.transport = Objects.requireNonNull(transport, "transport");
     this.log = Objects.requireNonNull(log, "log");
     this.evidence = new VersionEvidence(scheduler, clock, fleet, daemons);
-    this.exchange = new StreamExchange(scheduler, transport, fleet, evidence::isAmbiguous);
+    this.exchange = new StreamExchange(scheduler, transport, fleet, this::isReportNeeded);
   }
 
   /** Reads the records of all daemons and starts to write those of this one. */
@@ -328,6 +334,14 @@
     exchange.onVersionsChanged();
   }
 
+  /**
+   * Returns whether the others have to be told of the streams of a service. They read the records
+   * of this daemon if it can write them, and need none if all streams begin at one version.
+   */
+  private boolean isReportNeeded(String service) {
+    return isStoreLost || evidence.isAmbiguous(service);
+  }
+
   /** Reports the streams whose route may lead to another service from now on. */
   public void onConfiguration() {
     exchange.onVersionsChanged();
@@ -633,6 +647,9 @@
     long oldest = currentRow() - ROWS + 1;
     ownRows.headMap(oldest).clear();
     unwritten.removeIf(n -> n < oldest);
+    if (isWriting && scheduler.nowMillis() - writeBeganAtMillis > MAX_WRITE_MILLIS) {
+      onStoreLost();
+    }
     if (evidence.onEra(table.era())) {
       unwritten.addAll(ownRows.keySet());
       writtenRow = -1;
@@ -653,6 +670,7 @@
 
   private void write(Set<StreamOrigin> versions, Set<Long> configurations) {
     isWriting = true;
+    writeBeganAtMillis = scheduler.nowMillis();
     List<Long> numbers = List.copyOf(unwritten);
     unwritten.clear();
     List<Mutation> rows = new ArrayList<>();
@@ -669,17 +687,25 @@
             .thenAccept(
                 w -> {
                   isWriting = false;
-                  if (w instanceof WriteResult.Committed) {
+                  isStoreLost = !(w instanceof WriteResult.Committed);
+                  if (!isStoreLost) {
                     written = versions;
                     writtenConfigurations = configurations;
                     isEraWritten |= hasEra;
                     writtenRow = numbers.get(numbers.size() - 1);
                   } else {
                     unwritten.addAll(numbers);
+                    onStoreLost();
                   }
                 });
   }
 
+  /** Reports the streams whose records could not be written. */
+  private void onStoreLost() {
+    isStoreLost = true;
+    exchange.onVersionsChanged();
+  }
+
   private String key(long number) {
     return PREFIX + host + "." + number % ROWS;
   }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -220,18 +220,18 @@
   }
 
   /**
-   * Concludes from the view of this daemon and the reports of most others, sent after the question
+   * Concludes from the view of this daemon and the reports of all others, sent after the question
    * by daemons that have run for as long as streams are kept.
    */
   Optional<StreamOrigin> byPeers(Set<String> services, long askedAtMillis) {
     observe();
-    boolean areMost =
-        peers.areMost(
+    boolean areAll =
+        peers.areAll(
             services,
             askedAtMillis + REPORT_DELAY_MILLIS,
             askedAtMillis - StreamOrigins.KEEP_MILLIS,
             daemonCount());
-    return areMost && !isConfigurationOutdated() ? byView(services) : Optional.empty();
+    return areAll && !isConfigurationOutdated() ? byView(services) : Optional.empty();
   }
 
   private boolean isConfigurationOutdated() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PeerVersionsTest.java
@@ -17,21 +17,29 @@
     return new StreamOrigin("s", software);
   }
 
-  /** Guards against a conclusion from the reports of a few that are cut off together. */
+  /** Guards against a conclusion from the reports of daemons that are cut off together. */
   @ParameterizedTest
-  @CsvSource({"0, 1, true", "0, 2, false", "1, 2, true", "3, 8, false", "4, 8, true", "4, 9, true"})
-  void needsReportsOfMostDaemons(int heard, int daemons, boolean expected) {
+  @CsvSource({
+    "0, 1, true",
+    "0, 2, false",
+    "1, 2, true",
+    "3, 8, false",
+    "4, 8, false",
+    "6, 8, false",
+    "7, 8, true"
+  })
+  void needsReportsOfAllDaemons(int heard, int daemons, boolean expected) {
     for (int i = 0; i < heard; i++) {
       peers.onReport("d" + i, List.of(version("v1")), 100);
     }
     peers.onReport("e", List.of(new StreamOrigin("t", "v1")), 100);
-    assertThat(peers.areMost(Set.of("s"), 99, 100, daemons)).isEqualTo(expected);
-    assertThat(peers.areMost(Set.of("s"), 100, 100, daemons)).isEqualTo(daemons == 1);
-    assertThat(peers.areMost(Set.of("s"), 99, 99, daemons)).isEqualTo(daemons == 1);
+    assertThat(peers.areAll(Set.of("s"), 99, 100, daemons)).isEqualTo(expected);
+    assertThat(peers.areAll(Set.of("s"), 100, 100, daemons)).isEqualTo(daemons == 1);
+    assertThat(peers.areAll(Set.of("s"), 99, 99, daemons)).isEqualTo(daemons == 1);
     for (int i = 0; i < heard; i++) {
       peers.onReport("d" + i, List.of(version("v1")), 200);
     }
-    assertThat(peers.areMost(Set.of("s"), 199, 100, daemons)).isEqualTo(expected);
+    assertThat(peers.areAll(Set.of("s"), 199, 100, daemons)).isEqualTo(expected);
   }
 
   @Test
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -310,10 +310,17 @@
   private final class SlowTable implements TableService {
 
     private long delayMillis;
+    private long writeDelayMillis;
 
     @Override
     public CompletableFuture<WriteResult> transact(List<Mutation> mutations) {
-      return table.transact(mutations);
+      CompletableFuture<WriteResult> late = new CompletableFuture<>();
+      scheduler.schedule(
+          writeDelayMillis,
+          () -> {
+            var unused = table.transact(mutations).thenAccept(late::complete);
+          });
+      return late;
     }
 
     @Override
@@ -361,7 +368,7 @@
     "30_000, 30_000, '', false",
     "30_000, 30_000, , false"
   })
-  void answersWithoutTheStoreOnlyWhatMostDaemonsConfirm(
+  void answersWithoutTheStoreOnlyWhatAllDaemonsConfirm(
       String upMillis, String heardMillis, String reported, boolean isKnown) {
     scheduler.run(START_MILLIS);
     final Daemon d = new Daemon("a", List.of("v1"));
@@ -444,9 +451,61 @@
     assertThat(reports).isEmpty();
   }
 
+  /**
+   * Guards against daemons that lost the store together and confirm to each other a version, while
+   * the one that knew of another has ended.
+   */
+  @Test
+  void needsReportsOfTheDaemonThatHasEnded() {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon asked = new Daemon("b", List.of("v1"));
+    asked.count = 3;
+    runHearing(asked, 30_000);
+    asked.isStoreReachable = false;
+    asked.isInStep = false;
+    first.follow(List.of("v1", "v2"));
+    first.origins.onBegun("id", origin("v2"));
+    scheduler.run(1_000);
+    first.kill();
+    CompletableFuture<Found> found =
+        asked.origins.find(Optional.of("id"), "h", "/a/x", TIMEOUT_MILLIS);
+    scheduler.run(VersionEvidence.REPORT_DELAY_MILLIS + 50);
+    runHearing(asked, TIMEOUT_MILLIS);
+    assertThat(found.join()).isEqualTo(new Found.Unavailable());
+  }
+
+  /**
+   * Guards against streams that nobody can take up once their daemon has ended, since it could not
+   * write their records.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 1_500", "false, 400"})
+  void reportsStreamsWhoseRecordsAreNotWritten(boolean isSilent, String millis) {
+    SlowTable store = new SlowTable();
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"), store);
+    final Daemon asked = new Daemon("b", List.of("v1"));
+    connect(List.of(first, asked));
+    scheduler.run(20_000);
+    first.origins.onBegun("before", origin("v1"));
+    scheduler.run(100);
+    asked.isStoreReachable = false;
+    if (isSilent) {
+      store.writeDelayMillis = 60_000;
+    } else {
+      table.isDown = true;
+    }
+    first.origins.onBegun("id", origin("v1"));
+    scheduler.run(Long.parseLong(millis.replace("_", "")));
+    first.kill();
+    assertThat(asked.find("id")).isEqualTo(new Found.Known(origin("v1")));
+    assertThat(asked.find("before")).isEqualTo(new Found.Known(origin("v1")));
+  }
+
   /** Guards against a count of daemons that is that of a moment in which others restarted. */
   @Test
-  void needsReportsOfMostOfTheDaemonsOfLately() {
+  void needsReportsOfTheDaemonsOfLately() {
     scheduler.run(START_MILLIS);
     Daemon d = new Daemon("a", List.of("v1"));
     scheduler.run(30_000);
