Mend refusals and a gap that the review of the fix found

Now a row from 12 to 20 s ago must be there, unless the daemons have started for the first time. - Needless refusal: a daemon that had started lately took each change of the configuration for one of the routes. Rows now have digests of the routes in place of versions of the configuration, which was in no landing. - Needless refusal: for the first minute of a process, a shorter prefix of a path counted although no configuration had changed.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -331,19 +331,24 @@
     return row;
   }
 
-  /** Applies the last valid one of several versions. */
-  private void applyNewest(List<Change> changes) {
+  /**
+   * Applies the last valid one of several versions.
+   *
+   * @return key of its row, or empty if none is valid
+   */
+  private Optional<String> applyNewest(List<Change> changes) {
     for (int i = changes.size() - 1; i >= 0; i--) {
       RowValue<ForwardingTable> read = rows.configuration().apply(changes.get(i));
       if (read instanceof RowValue.Present<ForwardingTable> p) {
         unusableConfigurations.onUsable(changes.get(i).key());
         applyConfiguration(p.value());
-        return;
+        return Optional.of(changes.get(i).key());
       }
       if (read instanceof RowValue.Unusable<ForwardingTable> u) {
         unusableConfigurations.onUnusable(changes.get(i), u.reason());
       }
     }
+    return Optional.empty();
   }
 
   private void applyConfiguration(ForwardingTable t) {
@@ -377,11 +382,10 @@
 
     @Override
     public void onChanges(List<Change> changes) {
-      if (changes.size() > 1) {
-        // Only the newest one is read; another daemon may have served by those before.
-        configurations.onGap();
-      }
-      applyNewest(changes);
+      applyNewest(changes)
+          .filter(key -> changes.stream().filter(c -> c.key().equals(key)).count() > 1)
+          // Another daemon may have served by the configurations before the newest one.
+          .ifPresent(key -> configurations.onGap());
     }
   }
 
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
@@ -12,14 +12,11 @@
  * @param atMillis time of the store at which the row was written, in milliseconds
  * @param versions services with the versions of their upstreams that the daemon has seen
  * @param streams streams by what began them
- * @param configurations versions of the configurations by which the daemon has served lately; empty
- *     if an earlier release wrote the row
+ * @param routes digests of the routes of the configurations by which the daemon has served lately;
+ *     empty if an earlier release wrote the row
  */
 record OriginRow(
-    long atMillis,
-    List<Versions> versions,
-    List<Streams> streams,
-    Optional<List<Long>> configurations) {
+    long atMillis, List<Versions> versions, List<Streams> streams, Optional<List<Long>> routes) {
 
   /** Versions of the software of the upstreams of a service. */
   record Versions(String service, List<String> software) {}
@@ -31,11 +28,11 @@
   private record Required(long atMillis, List<Versions> versions, List<Streams> streams) {}
 
   /** Fields that earlier releases did not write. */
-  private record Added(List<Long> configurations) {}
+  private record Added(List<Long> routes) {}
 
   /** All fields, as they are written. */
   private record Written(
-      long atMillis, List<Versions> versions, List<Streams> streams, List<Long> configurations) {}
+      long atMillis, List<Versions> versions, List<Streams> streams, List<Long> routes) {}
 
   /**
    * Reads a row.
@@ -44,17 +41,17 @@
    */
   static OriginRow parse(String text) throws IOException {
     Required r = Json.readExact(text, Required.class);
-    Optional<List<Long>> configurations;
+    Optional<List<Long>> routes;
     try {
-      configurations = Optional.ofNullable(Json.read(text, Added.class).configurations());
+      routes = Optional.ofNullable(Json.read(text, Added.class).routes());
     } catch (UncheckedIOException e) {
-      throw new IOException("the configurations are no numbers", e);
+      throw new IOException("the digests are no numbers", e);
     }
-    return new OriginRow(r.atMillis(), r.versions(), r.streams(), configurations);
+    return new OriginRow(r.atMillis(), r.versions(), r.streams(), routes);
   }
 
   /** Returns the text of the row. */
   String toText() {
-    return Json.write(new Written(atMillis, versions, streams, configurations.orElse(List.of())));
+    return Json.write(new Written(atMillis, versions, streams, routes.orElse(List.of())));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -184,7 +184,7 @@
   private final ReportedUpstreams reported = new ReportedUpstreams();
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of(); // versions that the newest row names
-  private Set<Long> writtenConfigurations = Set.of();
+  private Set<Long> writtenRoutes = Set.of();
   private Cancellable nextRead = () -> {};
   private boolean isReading;
   private boolean isReadScheduled;
@@ -657,25 +657,25 @@
       isEraWritten = false;
     }
     Set<StreamOrigin> versions = seenVersions();
-    Set<Long> configurations = evidence.servedConfigurations();
+    Set<Long> routes = evidence.servedRoutes();
     // Without streams, too, the rows tell which versions were in use.
-    boolean isNew = !versions.equals(written) || !configurations.equals(writtenConfigurations);
+    boolean isNew = !versions.equals(written) || !routes.equals(writtenRoutes);
     if (isNew || writtenRow != currentRow()) {
       unwritten.add(currentRow());
     }
     if (!isWriting && areOwnRowsKnown && clock.millis() > 0 && !unwritten.isEmpty()) {
-      write(versions, configurations);
+      write(versions, routes);
     }
   }
 
-  private void write(Set<StreamOrigin> versions, Set<Long> configurations) {
+  private void write(Set<StreamOrigin> versions, Set<Long> routes) {
     isWriting = true;
     writeBeganAtMillis = scheduler.nowMillis();
     List<Long> numbers = List.copyOf(unwritten);
     unwritten.clear();
     List<Mutation> rows = new ArrayList<>();
     for (long n : numbers) {
-      rows.add(Mutation.put(key(n), toRow(n, versions, configurations).toText()));
+      rows.add(Mutation.put(key(n), toRow(n, versions, routes).toText()));
     }
     final boolean hasEra = !isEraWritten;
     if (hasEra) {
@@ -690,7 +690,7 @@
                   isStoreLost = !(w instanceof WriteResult.Committed);
                   if (!isStoreLost) {
                     written = versions;
-                    writtenConfigurations = configurations;
+                    writtenRoutes = routes;
                     isEraWritten |= hasEra;
                     writtenRow = numbers.get(numbers.size() - 1);
                   } else {
@@ -710,7 +710,7 @@
     return PREFIX + host + "." + number % ROWS;
   }
 
-  private OriginRow toRow(long number, Set<StreamOrigin> versions, Set<Long> configurations) {
+  private OriginRow toRow(long number, Set<StreamOrigin> versions, Set<Long> routes) {
     Map<String, List<String>> software = new TreeMap<>();
     versions.forEach(
         o ->
@@ -725,6 +725,6 @@
     streams.forEach(
         (o, ids) -> s.add(new OriginRow.Streams(o.service(), o.softwareVersion(), ids)));
     long atMillis = Math.min(clock.millis(), (number + 1) * ROW_MILLIS - 1);
-    return new OriginRow(atMillis, v, s, Optional.of(List.copyOf(configurations)));
+    return new OriginRow(atMillis, v, s, Optional.of(List.copyOf(routes)));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -34,9 +34,10 @@
   private final VersionSightings seen = new VersionSightings();
   private final VersionSightings recorded = new VersionSightings();
   private final PeerVersions peers = new PeerVersions();
-  private final Map<Long, Long> recordedConfigurations = new HashMap<>(); // last time by version
-  private final Map<Long, Long> earlierConfigurations = new HashMap<>(); // last time by version
-  private long lastRowWithoutConfigurationsAtMillis = Long.MIN_VALUE / 2;
+  private final Map<Long, Long> recordedRoutes = new HashMap<>(); // last time by digest
+  private final Map<Long, Long> earlierRoutes = new HashMap<>(); // last time by digest
+  private long lastRowWithoutRoutesAtMillis = Long.MIN_VALUE / 2;
+  private final Set<Long> rowsAtMillis = new HashSet<>();
   private long newestPeerConfiguration;
   private long newestPeerConfigurationAtMillis;
   private long era;
@@ -85,15 +86,15 @@
    * @param atMillis monotonic time at which it was written, in milliseconds
    */
   void onRow(OriginRow row, long atMillis) {
+    rowsAtMillis.removeIf(at -> at < atMillis - StreamOrigins.ROWS_MILLIS);
+    rowsAtMillis.add(atMillis);
     for (OriginRow.Versions v : row.versions()) {
       v.software().forEach(s -> recorded.add(new StreamOrigin(v.service(), s), atMillis));
     }
-    if (row.configurations().isEmpty()) {
-      lastRowWithoutConfigurationsAtMillis =
-          Math.max(lastRowWithoutConfigurationsAtMillis, atMillis);
+    if (row.routes().isEmpty()) {
+      lastRowWithoutRoutesAtMillis = Math.max(lastRowWithoutRoutesAtMillis, atMillis);
     }
-    row.configurations()
-        .ifPresent(c -> c.forEach(v -> recordedConfigurations.merge(v, atMillis, Math::max)));
+    row.routes().ifPresent(c -> c.forEach(v -> recordedRoutes.merge(v, atMillis, Math::max)));
   }
 
   /** Records what a row says of the era of the store. */
@@ -113,8 +114,7 @@
     for (OriginRow.Versions v : row.versions()) {
       v.software().forEach(s -> seen.add(new StreamOrigin(v.service(), s), atMillis));
     }
-    row.configurations()
-        .ifPresent(c -> c.forEach(v -> earlierConfigurations.merge(v, atMillis, Math::max)));
+    row.routes().ifPresent(c -> c.forEach(v -> earlierRoutes.merge(v, atMillis, Math::max)));
   }
 
   /**
@@ -142,17 +142,17 @@
     long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
     seen.expire(oldest);
     recorded.expire(oldest - StreamOrigins.ROW_MILLIS);
-    recordedConfigurations.values().removeIf(at -> at < oldest - StreamOrigins.ROW_MILLIS);
+    recordedRoutes.values().removeIf(at -> at < oldest - StreamOrigins.ROW_MILLIS);
     return seen.all();
   }
 
-  /** Returns the versions of the configurations by which this host has served lately. */
-  Set<Long> servedConfigurations() {
+  /** Returns digests of the configurations by which this host has served lately. */
+  Set<Long> servedRoutes() {
     long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
-    earlierConfigurations.values().removeIf(at -> at < oldest);
-    Set<Long> versions = fleet.routes().versionsSince(oldest);
-    versions.addAll(earlierConfigurations.keySet());
-    return versions;
+    earlierRoutes.values().removeIf(at -> at < oldest);
+    Set<Long> digests = fleet.routes().digestsSince(oldest);
+    digests.addAll(earlierRoutes.keySet());
+    return digests;
   }
 
   /** Notes the versions that the upstreams have now and the number of daemons. */
@@ -208,15 +208,36 @@
   Optional<StreamOrigin> byRows(Set<String> services) {
     long oldest = scheduler.nowMillis() - StreamOrigins.ROWS_MILLIS;
     boolean hasRows = services.stream().anyMatch(s -> !recorded.since(s, oldest).isEmpty());
-    boolean areServicesKnown = isConfigurationFollowed() || hasOneConfiguration(oldest);
-    return hasRows && isEraOld() && areServicesKnown ? only(services) : Optional.empty();
+    boolean isWholeTimeRecorded =
+        oldestRowAtMillis(oldest) <= oldest + 2 * StreamOrigins.ROW_MILLIS || isFirstStart();
+    boolean areServicesKnown = isConfigurationFollowed() || hasSameRoutes(oldest);
+    return hasRows && isEraOld() && isWholeTimeRecorded && areServicesKnown
+        ? only(services)
+        : Optional.empty();
   }
 
-  /** Returns whether all rows name the configuration in force here as the only one. */
-  private boolean hasOneConfiguration(long oldestMillis) {
-    recordedConfigurations.values().removeIf(at -> at < oldestMillis);
-    return lastRowWithoutConfigurationsAtMillis < oldestMillis
-        && recordedConfigurations.keySet().equals(Set.of(configuration()));
+  /**
+   * Returns when the oldest row was written that counts. After an outage of the store, the rows are
+   * those of daemons that have started since.
+   */
+  private long oldestRowAtMillis(long oldestMillis) {
+    return rowsAtMillis.stream()
+        .mapToLong(Long::longValue)
+        .filter(at -> at >= oldestMillis)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /** Returns whether no daemon has written rows before those that count. */
+  private boolean isFirstStart() {
+    return clock.millis() - eraSinceMillis < StreamOrigins.ROWS_MILLIS;
+  }
+
+  /** Returns whether all rows are of daemons whose routes led as they do here now. */
+  private boolean hasSameRoutes(long oldestMillis) {
+    recordedRoutes.values().removeIf(at -> at < oldestMillis);
+    return lastRowWithoutRoutesAtMillis < oldestMillis
+        && recordedRoutes.keySet().equals(fleet.routes().digestsSince(Long.MAX_VALUE));
   }
 
   /**
