--- a/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.LongStream;
+import org.hibiscusreel.core.forward.StreamOrigin;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -60,4 +62,49 @@
     assertThat(ExploreStreams.play(reduced, 1, PlannedFault.RESUMPTION_IGNORED).joined())
         .isNotEmpty();
   }
+
+  /**
+   * Guards against a stream that goes on at another version or service, since it began at a daemon
+   * that has been cut off from the store and all others for longer than the others keep a version,
+   * and that still serves by the upstreams and the configuration of before.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "VERSION, 5_000, false",
+    "VERSION, 12_000, false",
+    "VERSION, 19_000, false",
+    "VERSION, 40_000, false",
+    "ROUTE, 25_000, false",
+    "ROUTE, 25_000, true",
+    "ROUTE, 70_000, false"
+  })
+  void joinsNoStreamOfDaemonThatIsCutOffForLong(
+      String change, String millisAfterChange, boolean isRestarted) {
+    final long cut = 20_000;
+    final long begin = cut + 1_000 + Long.parseLong(millisAfterChange.replace("_", ""));
+    final long killed = begin + 300;
+    List<PlanEvent> events = new ArrayList<>();
+    join(events, 0, "u1", "s", "v1");
+    join(events, 0, "u2", "t", "v1");
+    events.add(new PlanEvent.CutStore(cut, 0, 200_000, StoreLink.State.RESET));
+    events.add(new PlanEvent.CutPeers(cut, 0, 200_000));
+    if (change.equals("VERSION")) {
+      join(events, cut + 500, "u3", "s", "v2");
+      events.add(new PlanEvent.Leave(cut + 1_000, "u1", false, 0, 100_000));
+    } else {
+      events.add(new PlanEvent.Configure(cut + 1_000, List.of("t")));
+    }
+    if (isRestarted) {
+      events.add(new PlanEvent.Kill(cut + 1_500, 1, 500));
+    }
+    events.add(new PlanEvent.Begin(begin, "c1", List.of(0, 1), List.of(), 100, true, true, false));
+    events.add(new PlanEvent.Kill(killed, 0, -1));
+    Plan plan = new Plan(3, false, true, killed + 5_000, events);
+    assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
+  }
+
+  private static void join(
+      List<PlanEvent> events, long atMillis, String id, String service, String version) {
+    events.add(new PlanEvent.Join(atMillis, id, new StreamOrigin(service, version), 5));
+  }
 }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/FleetFollowerTest.java
@@ -341,6 +341,22 @@
     assertThat(followedMillis >= 20_000).isEqualTo(isGapless);
   }
 
+  /**
+   * Guards against streams that are refused for 16 s, since a row that is no configuration changed
+   * together with the configuration, or alone after a late answer.
+   */
+  @ParameterizedTest
+  @CsvSource({"'config,7,other,x', 0", "'other,x,config,7', 0", "'other,x', 3_000"})
+  void missesNoConfigurationBesideOtherRows(String rows, String millisLate) {
+    start();
+    scheduler.run(20_000);
+    feed.congestionMillis = Long.parseLong(millisLate.replace("_", ""));
+    scheduler.run(FeedFollower.POLL_TIMEOUT_MILLIS);
+    feed.polls.get("configurations").add(changes(11, rows.split(",", -1)));
+    scheduler.run(4_500);
+    assertThat(follower.configurationFollowedMillis()).isGreaterThanOrEqualTo(20_000);
+  }
+
   /** Guards against losing all upstreams that a read after an outage lacks. */
   @Test
   void keepsUpstreamsThatReadAfterAnOutageLacksBriefly() {
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -47,6 +47,7 @@
   private final Map<String, Consumer<StreamReport>> receivers = new HashMap<>();
   private long era;
   private String routedAtStart = "s";
+  private Optional<ForwardingTable> configuredAtStart = Optional.empty();
 
   /** Table of a store that names its era. */
   private record EraTable(TableService table, LongSupplier eras) implements TableService {
@@ -99,7 +100,7 @@
       this.host = host;
       transport = new FakeStreamTransport(receivers, host);
       use(versions);
-      lead(configuration(routedAtStart));
+      lead(configuredAtStart.orElseGet(() -> configuration(routedAtStart)));
       origins =
           new StreamOrigins(
               new EraTable(new KillableTable(store, () -> alive && isStoreReachable), () -> era),
@@ -674,6 +675,129 @@
     }
   }
 
+  /**
+   * Guards against a stream that goes on at another version, since it began at a daemon that is cut
+   * off from the store and all others and goes on using a version that was removed a while ago.
+   */
+  @ParameterizedTest
+  @CsvSource({"10_000", "17_000", "30_000", "50_000"})
+  void concludesNoVersionWhileCutOffDaemonUsesRemovedOne(String millisAfterRemoval) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1"));
+    final Daemon asked = new Daemon("b", List.of("v1"));
+    scheduler.run(30_000);
+    first.isInStep = false;
+    first.isStoreReachable = false;
+    first.follow(List.of("v2"));
+    asked.follow(List.of("v1", "v2"));
+    scheduler.run(1_000);
+    asked.follow(List.of("v2"));
+    scheduler.run(Long.parseLong(millisAfterRemoval.replace("_", "")));
+    first.origins.onBegun("id", origin("v1"));
+    scheduler.run(1_000);
+    first.kill();
+    assertThat(asked.find("id")).isNotInstanceOf(Found.Known.class);
+  }
+
+  /**
+   * Guards against a stream that goes on at another service, since it began by an outdated
+   * configuration at a daemon that is cut off from the store, and the asked daemon has started
+   * after the move of the route.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "10_000, 1_000, false",
+    "40_000, 1_000, false",
+    "40_000, 1_000, true",
+    "22_000, 17_000, false",
+    "22_000, 17_000, true"
+  })
+  void concludesNoServiceSoonAfterStartWhileCutOffDaemonUsesAnother(
+      String millisFromMoveToStart, String millisFromStart, boolean isHeard) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "t/v1"));
+    final Daemon other = new Daemon("c", List.of("v1", "t/v1"));
+    scheduler.run(30_000);
+    first.isInStep = false;
+    first.isStoreReachable = false;
+    first.configure("t");
+    other.configure("t");
+    scheduler.run(Long.parseLong(millisFromMoveToStart.replace("_", "")));
+    routedAtStart = "t";
+    Daemon asked = new Daemon("b", List.of("v1", "t/v1"));
+    scheduler.run(Long.parseLong(millisFromStart.replace("_", "")));
+    if (isHeard) {
+      asked.origins.onPeerConfiguration(first.current.version());
+    }
+    first.origins.onBegun("id", origin("s/v1"));
+    scheduler.run(10);
+    first.kill();
+    assertThat(asked.find("id")).isNotInstanceOf(Found.Known.class);
+  }
+
+  /**
+   * Guards against streams that are refused long after a release, since each run of a host takes
+   * over what the one before has seen as if it had seen it itself until its end.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, true", "1, true", "3, true", "6, true"})
+  void forgetsVersionThatIsGoneAlthoughItsHostRestartsOften(int restarts, boolean isKnown) {
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of("v1", "v2"));
+    scheduler.run(1_000);
+    first.follow(List.of("v2"));
+    for (int i = 0; i < restarts; i++) {
+      scheduler.run(12_000);
+      first.kill();
+      first = new Daemon("a", List.of("v2"));
+    }
+    scheduler.run(Math.max(0, 40_000 - restarts * 12_000L));
+    Daemon asked = new Daemon("b", List.of("v2"));
+    scheduler.run(500);
+    assertThat(asked.find("id"))
+        .isEqualTo(isKnown ? new Found.Known(origin("v2")) : new Found.Unknown());
+  }
+
+  /**
+   * Guards against streams that are refused by each daemon that has started lately, since a shorter
+   * prefix of their path leads to another service, although no configuration has changed.
+   */
+  @ParameterizedTest
+  @CsvSource({"1_000", "20_000", "59_000", "62_000"})
+  void findsServiceBesideShorterPrefixSoonAfterStart(String millisFromStart) {
+    scheduler.run(START_MILLIS);
+    configuredAtStart = Optional.of(nested());
+    new Daemon("a", List.of("v1", "t/v1"));
+    scheduler.run(70_000);
+    Daemon asked = new Daemon("b", List.of("v1", "t/v1"));
+    scheduler.run(Long.parseLong(millisFromStart.replace("_", "")));
+    assertThat(asked.find("id")).isEqualTo(new Found.Known(origin("t/v1")));
+  }
+
+  /** Returns a configuration in which the path of the streams has a prefix that leads elsewhere. */
+  private static ForwardingTable nested() {
+    List<Route> routes = new ArrayList<>();
+    for (String prefix : List.of("/a/x", "/a/")) {
+      String service = prefix.equals("/a/x") ? "t" : "s";
+      routes.add(
+          new Route(
+              prefix,
+              "h",
+              prefix,
+              RetryPolicy.RESUMABLE,
+              true,
+              8_000,
+              600,
+              250,
+              1,
+              List.of(new WeightedService(service, 1)),
+              2,
+              false));
+    }
+    return new ForwardingTable(
+        7, new CallerLimits(1, 1, 1), routes, List.of(), List.of(), Map.of());
+  }
+
   /** Guards against a stream that goes on although daemons tell of different origins. */
   @ParameterizedTest
   @CsvSource({"v1, v1, true", "v1, v2, false", "v2, v1, false"})
