--- a/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
@@ -103,6 +103,32 @@
     assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
   }
 
+  /**
+   * Guards against a stream that goes on at another version after an outage of the store at whose
+   * end all hosts start again, while the upstreams of its version have ended.
+   */
+  @ParameterizedTest
+  @CsvSource({"5_000", "15_000", "25_000", "60_000"})
+  void joinsNoStreamAfterOutageAndLossOfAllHosts(String outageMillis) {
+    final long out = 20_000;
+    final long killed = out + Long.parseLong(outageMillis.replace("_", ""));
+    List<PlanEvent> events = new ArrayList<>();
+    join(events, 0, "u1", "s", "v1");
+    join(events, 0, "u2", "s", "v2");
+    for (int d = 0; d < 3; d++) {
+      events.add(new PlanEvent.CutStore(out, d, killed + 100 - out, StoreLink.State.REFUSED));
+      events.add(new PlanEvent.Kill(killed, d, 300));
+    }
+    for (int i = 0; i < 20; i++) {
+      events.add(
+          new PlanEvent.Begin(
+              killed - 500, "c" + i, List.of(i % 3), List.of(), 1_200, true, true, false));
+    }
+    events.add(new PlanEvent.Crash(killed, "u2", 0));
+    Plan plan = new Plan(3, false, true, killed + 8_000, events);
+    assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
+  }
+
   private static void join(
       List<PlanEvent> events, long atMillis, String id, String service, String version) {
     events.add(new PlanEvent.Join(atMillis, id, new StreamOrigin(service, version), 5));
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -798,6 +798,56 @@
         7, new CallerLimits(1, 1, 1), routes, List.of(), List.of(), Map.of());
   }
 
+  /**
+   * Guards against streams that each daemon refuses that has started lately, since a configuration
+   * that leaves their route as it was has just replaced another one.
+   */
+  @ParameterizedTest
+  @CsvSource({"500, 500", "5_000, 500", "5_000, 12_000", "30_000, 500", "40_000, 500"})
+  void findsServiceThatNewerConfigurationLeavesAlone(String millisToStart, String millisFromStart) {
+    scheduler.run(START_MILLIS);
+    Daemon first = new Daemon("a", List.of("v1"));
+    scheduler.run(30_000);
+    ForwardingTable newer = newerConfiguration();
+    configuredAtStart = Optional.of(newer);
+    first.lead(newer);
+    scheduler.run(Long.parseLong(millisToStart.replace("_", "")));
+    Daemon asked = new Daemon("b", List.of("v1"));
+    scheduler.run(Long.parseLong(millisFromStart.replace("_", "")));
+    assertThat(asked.find("id")).isEqualTo(new Found.Known(origin("v1")));
+  }
+
+  /** Returns a configuration that leads the route as that at the start does. */
+  private static ForwardingTable newerConfiguration() {
+    ForwardingTable c = configuration("s");
+    return new ForwardingTable(
+        c.version() + 1, new CallerLimits(1, 1, 1), c.routes(), List.of(), List.of(), Map.of());
+  }
+
+  /**
+   * Guards against a stream that goes on at another version after an outage of the store at whose
+   * end all hosts start again: the only rows of lately are those of daemons that have just started.
+   */
+  @ParameterizedTest
+  @CsvSource({"5_000, 1", "15_000, 1", "22_000, 1", "22_000, 2", "60_000, 2"})
+  void concludesNothingFromRowsOfDaemonsThatHaveJustStarted(String outageMillis, int started) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "v2"));
+    scheduler.run(30_000);
+    table.isDown = true;
+    scheduler.run(Long.parseLong(outageMillis.replace("_", "")));
+    first.origins.onBegun("id", origin("v2"));
+    scheduler.run(1_000);
+    first.kill();
+    table.isDown = false;
+    Daemon asked = new Daemon("b", List.of("v1"));
+    if (started > 1) {
+      new Daemon("a", List.of("v1"));
+    }
+    scheduler.run(500);
+    assertThat(asked.find("id")).isNotInstanceOf(Found.Known.class);
+  }
+
   /** Guards against a stream that goes on although daemons tell of different origins. */
   @ParameterizedTest
   @CsvSource({"v1, v1, true", "v1, v2, false", "v2, v1, false"})
