Count what a host that is silent may still use, and prolong nothing

Now the newest row of each host counts for a minute, a view alone is enough only if all others have been heard lately and the configuration was followed for a minute, and rows only if this daemon knows all routes that they name. - Needless refusal: what an earlier run of a host had seen counted anew with each restart (forgetsVersionThatIsGoneAlthoughItsHostRestartsOften). It is kept only in the row in which it was written. - Needless refusal: a late answer with other rows of the table counted as a skipped configuration (missesNoConfigurationBesideOtherRows).

Nothing that daemons send each other or store changes its form.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FeedFollower.java
@@ -41,6 +41,11 @@
 
     /** Called with the rows that changed. */
     void onChanges(List<Change> changes);
+
+    /** Returns whether a change of one of the rows may have been missed if they came late. */
+    default boolean mayMissChanges(List<Change> late) {
+      return !late.isEmpty();
+    }
   }
 
   /**
@@ -269,7 +274,7 @@
       notifyListener(() -> listener.onFullRead(c.changes()));
     } else {
       isConfirmed = true;
-      if (!c.changes().isEmpty() && knowledgeAgeMillis() > OVERDUE_MILLIS) {
+      if (knowledgeAgeMillis() > OVERDUE_MILLIS && listener.mayMissChanges(c.changes())) {
         // The answer may have only the newest of several changes of a row.
         onGap();
       }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/FleetFollower.java
@@ -123,6 +123,7 @@
   private final FeedFollower configurations;
   private final FeedFollower upstreamRows;
   private ForwardingTable current;
+  private String configurationKey; // of the row of the current one
   private int daemons = INITIAL_DAEMON_COUNT;
   private boolean upstreamsKnown;
   private boolean stopped;
@@ -341,8 +342,9 @@
       RowValue<ForwardingTable> read = rows.configuration().apply(changes.get(i));
       if (read instanceof RowValue.Present<ForwardingTable> p) {
         unusableConfigurations.onUsable(changes.get(i).key());
+        configurationKey = changes.get(i).key();
         applyConfiguration(p.value());
-        return Optional.of(changes.get(i).key());
+        return Optional.of(configurationKey);
       }
       if (read instanceof RowValue.Unusable<ForwardingTable> u) {
         unusableConfigurations.onUnusable(changes.get(i), u.reason());
@@ -380,6 +382,12 @@
       applyNewest(all);
     }
 
+    /** Other rows of the table are no configurations. */
+    @Override
+    public boolean mayMissChanges(List<Change> late) {
+      return late.stream().anyMatch(c -> c.key().equals(configurationKey));
+    }
+
     @Override
     public void onChanges(List<Change> changes) {
       applyNewest(changes)
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/OriginRow.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.hibiscusreel.coordination.platform.Json;
+import org.hibiscusreel.core.forward.StreamOrigin;
 
 /**
  * Row in which a daemon records at which upstreams the streams of a few seconds have begun.
@@ -50,6 +53,13 @@
     return new OriginRow(r.atMillis(), r.versions(), r.streams(), routes);
   }
 
+  /** Returns all versions. */
+  Set<StreamOrigin> origins() {
+    Set<StreamOrigin> origins = new HashSet<>();
+    versions.forEach(v -> v.software().forEach(s -> origins.add(new StreamOrigin(v.service(), s))));
+    return origins;
+  }
+
   /** Returns the text of the row. */
   String toText() {
     return Json.write(new Written(atMillis, versions, streams, routes.orElse(List.of())));
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -26,6 +28,7 @@
 import org.hibiscusreel.coordination.port.WriteResult;
 import org.hibiscusreel.core.forward.ForwardingTable;
 import org.hibiscusreel.core.forward.ReportedUpstreams;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.StreamReport;
 import org.hibiscusreel.core.forward.UpstreamEntry;
@@ -178,6 +181,7 @@
   private final DecisionLog log;
   private final Map<String, Begun> known = new LinkedHashMap<>();
   private final TreeMap<Long, Map<String, StreamOrigin>> ownRows = new TreeMap<>();
+  private final TreeMap<Long, OriginRow> earlierRows = new TreeMap<>(); // of the run before
   private final Set<Long> unwritten = new TreeSet<>();
   private final VersionEvidence evidence;
   private final StreamExchange exchange;
@@ -582,9 +586,13 @@
 
   private void apply(List<Row> rows) {
     evidence.onEra(table.era());
+    Map<String, Long> newest = new HashMap<>();
+    for (Row r : rows) {
+      parse(r).ifPresent(o -> newest.merge(hostOf(r), o.atMillis(), Math::max));
+    }
     for (Row r : rows) {
       try {
-        apply(r);
+        apply(r, newest.getOrDefault(hostOf(r), 0L));
       } catch (IOException e) {
         // Another writer may have spoilt the row; the others hold.
         log.record("stream_origins_unusable", Map.of("row", r.key()));
@@ -593,7 +601,7 @@
     areOwnRowsKnown = true;
   }
 
-  private void apply(Row row) throws IOException {
+  private void apply(Row row, long newestAtMillis) throws IOException {
     if (row.key().endsWith(ERA_SUFFIX)) {
       evidence.onRow(Json.readExact(row.value(), EraRow.class));
       return;
@@ -601,13 +609,16 @@
     OriginRow content = OriginRow.parse(row.value());
     long ageMillis = Math.max(0, clock.millis() - content.atMillis());
     if (ageMillis > ROWS_MILLIS) {
+      if (ageMillis <= RouteHistory.KEEP_MILLIS && content.atMillis() == newestAtMillis) {
+        evidence.onOutdatedRow(content);
+      }
       return;
     }
     long atMillis = scheduler.nowMillis() - ageMillis;
     boolean isOwn = row.key().startsWith(PREFIX + host + ".");
     evidence.onRow(content, atMillis);
     if (isOwn && !areOwnRowsKnown) {
-      evidence.onOwnRow(content, atMillis);
+      earlierRows.put(content.atMillis() / ROW_MILLIS, content);
     }
     for (OriginRow.Streams s : content.streams()) {
       StreamOrigin origin = new StreamOrigin(s.service(), s.software());
@@ -623,6 +634,21 @@
     }
   }
 
+  private static Optional<OriginRow> parse(Row row) {
+    if (row.key().endsWith(ERA_SUFFIX)) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(OriginRow.parse(row.value()));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static String hostOf(Row row) {
+    return row.key().substring(0, row.key().lastIndexOf('.'));
+  }
+
   private void expire() {
     long oldest = scheduler.nowMillis() - KEEP_MILLIS;
     var it = known.values().iterator();
@@ -646,6 +672,7 @@
     expire();
     long oldest = currentRow() - ROWS + 1;
     ownRows.headMap(oldest).clear();
+    earlierRows.headMap(oldest).clear();
     unwritten.removeIf(n -> n < oldest);
     if (isWriting && scheduler.nowMillis() - writeBeganAtMillis > MAX_WRITE_MILLIS) {
       onStoreLost();
@@ -710,7 +737,15 @@
     return PREFIX + host + "." + number % ROWS;
   }
 
-  private OriginRow toRow(long number, Set<StreamOrigin> versions, Set<Long> routes) {
+  private OriginRow toRow(long number, Set<StreamOrigin> seen, Set<Long> routes) {
+    Set<StreamOrigin> versions = new HashSet<>(seen);
+    Set<Long> allRoutes = new HashSet<>(routes);
+    Optional.ofNullable(earlierRows.get(number))
+        .ifPresent(
+            earlier -> {
+              versions.addAll(earlier.origins());
+              earlier.routes().ifPresent(allRoutes::addAll);
+            });
     Map<String, List<String>> software = new TreeMap<>();
     versions.forEach(
         o ->
@@ -725,6 +760,6 @@
     streams.forEach(
         (o, ids) -> s.add(new OriginRow.Streams(o.service(), o.softwareVersion(), ids)));
     long atMillis = Math.min(clock.millis(), (number + 1) * ROW_MILLIS - 1);
-    return new OriginRow(atMillis, v, s, Optional.of(List.copyOf(routes)));
+    return new OriginRow(atMillis, v, s, Optional.of(List.copyOf(allRoutes)));
   }
 }
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -11,6 +11,7 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.port.StoreClock;
 import org.hibiscusreel.core.forward.ForwardingTable;
+import org.hibiscusreel.core.forward.RouteHistory;
 import org.hibiscusreel.core.forward.StreamOrigin;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.VersionSightings;
@@ -35,7 +36,6 @@
   private final VersionSightings recorded = new VersionSightings();
   private final PeerVersions peers = new PeerVersions();
   private final Map<Long, Long> recordedRoutes = new HashMap<>(); // last time by digest
-  private final Map<Long, Long> earlierRoutes = new HashMap<>(); // last time by digest
   private long lastRowWithoutRoutesAtMillis = Long.MIN_VALUE / 2;
   private final Set<Long> rowsAtMillis = new HashSet<>();
   private long newestPeerConfiguration;
@@ -88,13 +88,7 @@
   void onRow(OriginRow row, long atMillis) {
     rowsAtMillis.removeIf(at -> at < atMillis - StreamOrigins.ROWS_MILLIS);
     rowsAtMillis.add(atMillis);
-    for (OriginRow.Versions v : row.versions()) {
-      v.software().forEach(s -> recorded.add(new StreamOrigin(v.service(), s), atMillis));
-    }
-    if (row.routes().isEmpty()) {
-      lastRowWithoutRoutesAtMillis = Math.max(lastRowWithoutRoutesAtMillis, atMillis);
-    }
-    row.routes().ifPresent(c -> c.forEach(v -> recordedRoutes.merge(v, atMillis, Math::max)));
+    record(row, atMillis);
   }
 
   /** Records what a row says of the era of the store. */
@@ -105,16 +99,19 @@
   }
 
   /**
-   * Takes over what an earlier run of this host has recorded, since this run writes into its rows.
-   *
-   * @param row the row
-   * @param atMillis monotonic time at which it was written, in milliseconds
+   * Records what the newest row of a host says that has not written for long. Its daemon may be cut
+   * off, and go on with what it knew then.
    */
-  void onOwnRow(OriginRow row, long atMillis) {
-    for (OriginRow.Versions v : row.versions()) {
-      v.software().forEach(s -> seen.add(new StreamOrigin(v.service(), s), atMillis));
+  void onOutdatedRow(OriginRow row) {
+    record(row, scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS);
+  }
+
+  private void record(OriginRow row, long atMillis) {
+    row.origins().forEach(o -> recorded.add(o, atMillis));
+    if (row.routes().isEmpty()) {
+      lastRowWithoutRoutesAtMillis = Math.max(lastRowWithoutRoutesAtMillis, atMillis);
     }
-    row.routes().ifPresent(c -> c.forEach(v -> earlierRoutes.merge(v, atMillis, Math::max)));
+    row.routes().ifPresent(c -> c.forEach(v -> recordedRoutes.merge(v, atMillis, Math::max)));
   }
 
   /**
@@ -146,13 +143,9 @@
     return seen.all();
   }
 
-  /** Returns digests of the configurations by which this host has served lately. */
+  /** Returns digests of the configurations by which this daemon has served lately. */
   Set<Long> servedRoutes() {
-    long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
-    earlierRoutes.values().removeIf(at -> at < oldest);
-    Set<Long> digests = fleet.routes().digestsSince(oldest);
-    digests.addAll(earlierRoutes.keySet());
-    return digests;
+    return fleet.routes().digestsSince(scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS);
   }
 
   /** Notes the versions that the upstreams have now and the number of daemons. */
@@ -194,11 +187,22 @@
   }
 
   /**
-   * Concludes from the view of this daemon. It must have received all changes of the upstreams and
-   * of the configuration for as long as streams are kept, the last of them after the question.
+   * Concludes from the view of this daemon. It must have received all changes of the upstreams for
+   * as long as streams are kept, and of the configuration for as long as a host may serve by an
+   * outdated one, the last of them after the question. A daemon that is not heard may be cut off
+   * and go on with versions that are no longer listed.
    */
   Optional<StreamOrigin> byView(Set<String> services) {
-    return hasLongView() && isConfigurationFollowed() ? only(services) : Optional.empty();
+    observe();
+    long oldest = scheduler.nowMillis() - StreamOrigins.KEEP_MILLIS;
+    boolean areAllHeard = peers.count(services, oldest) + 1 >= daemonCount();
+    return areAllHeard && hasLongView() && isConfigurationLongFollowed()
+        ? only(services)
+        : Optional.empty();
+  }
+
+  private boolean isConfigurationLongFollowed() {
+    return fleet.configurationFollowedMillis() >= RouteHistory.KEEP_MILLIS;
   }
 
   /**
@@ -210,7 +214,7 @@
     boolean hasRows = services.stream().anyMatch(s -> !recorded.since(s, oldest).isEmpty());
     boolean isWholeTimeRecorded =
         oldestRowAtMillis(oldest) <= oldest + 2 * StreamOrigins.ROW_MILLIS || isFirstStart();
-    boolean areServicesKnown = isConfigurationFollowed() || hasSameRoutes(oldest);
+    boolean areServicesKnown = areRoutesKnown(oldest);
     return hasRows && isEraOld() && isWholeTimeRecorded && areServicesKnown
         ? only(services)
         : Optional.empty();
@@ -233,11 +237,15 @@
     return clock.millis() - eraSinceMillis < StreamOrigins.ROWS_MILLIS;
   }
 
-  /** Returns whether all rows are of daemons whose routes led as they do here now. */
-  private boolean hasSameRoutes(long oldestMillis) {
+  /**
+   * Returns whether this daemon knows all configurations by which the rows say that daemons have
+   * served.
+   */
+  private boolean areRoutesKnown(long oldestMillis) {
     recordedRoutes.values().removeIf(at -> at < oldestMillis);
-    return lastRowWithoutRoutesAtMillis < oldestMillis
-        && recordedRoutes.keySet().equals(fleet.routes().digestsSince(Long.MAX_VALUE));
+    boolean haveAllRoutes = lastRowWithoutRoutesAtMillis < oldestMillis;
+    Set<Long> own = fleet.routes().digestsSince(scheduler.nowMillis() - RouteHistory.KEEP_MILLIS);
+    return (haveAllRoutes || isConfigurationFollowed()) && own.containsAll(recordedRoutes.keySet());
   }
 
   /**
@@ -252,7 +260,9 @@
             askedAtMillis + REPORT_DELAY_MILLIS,
             askedAtMillis - StreamOrigins.KEEP_MILLIS,
             daemonCount());
-    return areAll && !isConfigurationOutdated() ? byView(services) : Optional.empty();
+    return areAll && !isConfigurationOutdated() && hasLongView() && isConfigurationFollowed()
+        ? only(services)
+        : Optional.empty();
   }
 
   private boolean isConfigurationOutdated() {
