--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/PinnedStreamsTest.java
@@ -179,6 +179,32 @@
     }
   }
 
+  /**
+   * Guards against streams that all begin at the upstreams of one version, beyond their slots,
+   * while those of another version are idle, since the store takes no writes.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, true", "true, false", "false, true"})
+  void beginsStreamsAtAllUpstreamsWhileNoVersionCanBeRecorded(boolean isDown, boolean hasEarlier) {
+    if (hasEarlier) {
+      list("u0", "v1");
+    }
+    harness.origins.start();
+    harness.scheduler.run(20_000);
+    harness.table.isDown = isDown;
+    if (!hasEarlier) {
+      list("u0", "v1");
+    }
+    list("u1", "v2");
+    harness.scheduler.run(1_000);
+    for (int i = 0; i < 8; i++) {
+      harness.serve(ForwardHarness.plain("/a/" + i, "key"));
+    }
+    assertThat(harness.sent).hasSize(8);
+    assertThat(harness.sent.stream().filter(s -> s.upstream.id().equals("u1")).count())
+        .isBetween(3L, 5L);
+  }
+
   /**
    * Guards against a stream that begins at a version of which no other host could learn if this one
    * ended now, and against a request that is refused because no version is recorded.
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -869,6 +869,31 @@
         .isEqualTo(isKnown ? new Found.Known(origin(reported)) : new Found.Unknown());
   }
 
+  /**
+   * Guards against a dispute that is forgotten because this daemon has gone on with the stream
+   * after the other origin was reported, not before.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, v1", "true, v2", "false, v1", "false, v2"})
+  void remembersDisputeWithItsOwnTakeUpInEitherOrder(boolean isReportedFirst, String reported) {
+    scheduler.run(START_MILLIS);
+    final Daemon asked = new Daemon("b", List.of("v1", "v2"));
+    scheduler.run(1_000);
+    StreamReport report =
+        new StreamReport(
+            List.of(new StreamReport.Streams(origin(reported), List.of("id"))), List.of());
+    if (isReportedFirst) {
+      receivers.get("b").accept(report);
+    }
+    asked.origins.onBegun("id", origin("v1"));
+    if (!isReportedFirst) {
+      receivers.get("b").accept(report);
+    }
+    scheduler.run(100);
+    assertThat(asked.find("id"))
+        .isEqualTo(reported.equals("v1") ? new Found.Known(origin("v1")) : new Found.Unknown());
+  }
+
   /** Guards against answers whose evidence, and its age, can't be told from the log. */
   @ParameterizedTest
   @CsvSource({"own, 31_000, 1", "record, 31_000, 1", "view, 31_000, 1", "none, 0, 0"})
