--- a/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
@@ -129,6 +129,29 @@
     assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
   }
 
+  /**
+   * Guards against a stream that goes on at another version at a daemon that has counted the others
+   * only once, before they had started, and is cut off since.
+   */
+  @ParameterizedTest
+  @CsvSource({"2_000, 20_000", "3_000, 34_000", "12_000, 34_000"})
+  void joinsNoStreamAtDaemonThatBelievesToBeAlone(String millisUntilCut, String millisOfCut) {
+    final long cut = Long.parseLong(millisUntilCut.replace("_", ""));
+    final long begin = cut + Long.parseLong(millisOfCut.replace("_", ""));
+    List<PlanEvent> events = new ArrayList<>();
+    join(events, 0, "u1", "s", "v1");
+    events.add(new PlanEvent.CutStore(cut, 0, 100_000, StoreLink.State.RESET));
+    events.add(new PlanEvent.CutPeers(cut, 0, 100_000));
+    join(events, cut + 500, "u2", "s", "v2");
+    for (int i = 0; i < 10; i++) {
+      events.add(
+          new PlanEvent.Begin(
+              begin + 9L * i, "c" + i, List.of(1, 0), List.of(500L), 100, true, true, false));
+    }
+    Plan plan = new Plan(3, false, true, begin + 5_000, events);
+    assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
+  }
+
   /**
    * Guards against streams that are refused for good although all of them began at the only version
    * of the only service of their route: a configuration that leaves the route alone was followed by
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -894,6 +894,36 @@
         .isEqualTo(reported.equals("v1") ? new Found.Known(origin("v1")) : new Found.Unknown());
   }
 
+  /**
+   * Guards against a daemon that has just started and goes on with a stream at another version than
+   * the one that a running daemon has heard of in reports, of the version or of the stream itself.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 1_000", "true, 40_000", "false, 1_000", "false, 40_000"})
+  void concludesNoVersionAgainstWhatOthersHaveHeard(boolean isStream, String millisAfterRemoval) {
+    scheduler.run(START_MILLIS);
+    final Daemon first = new Daemon("a", List.of("v1", "v2"));
+    final Daemon second = new Daemon("b", List.of("v1", "v2"));
+    scheduler.run(30_000);
+    first.isInStep = false;
+    first.isStoreReachable = false;
+    second.follow(List.of("v1"));
+    scheduler.run(Long.parseLong(millisAfterRemoval.replace("_", "")));
+    second.origins.onPeerVersions("a", first.origins.seenVersions());
+    if (isStream) {
+      first.origins.onPeers(List.of("b"));
+    }
+    first.origins.onBegun("id", origin("v2"));
+    scheduler.run(1_000);
+    first.kill();
+    if (isStream) {
+      assertThat(second.find("id")).isEqualTo(new Found.Known(origin("v2")));
+    }
+    Daemon asked = new Daemon("c", List.of("v1"));
+    scheduler.run(500);
+    assertThat(asked.find("id")).isNotEqualTo(new Found.Known(origin("v1")));
+  }
+
   /** Guards against answers whose evidence, and its age, can't be told from the log. */
   @ParameterizedTest
   @CsvSource({"own, 31_000, 1", "record, 31_000, 1", "view, 31_000, 1", "none, 0, 0"})
