--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -60,6 +60,12 @@
   /** Least interval in milliseconds at which new records are written. */
   static final long MIN_WRITE_INTERVAL_MILLIS = 250;
 
+  /**
+   * Time in milliseconds for which upstreams of other versions are preferred to those of a version
+   * that is not recorded. They may be full.
+   */
+  static final long MAX_UNRECORDED_MILLIS = 500;
+
   /** Time in milliseconds after which a write counts as one that fails. */
   static final long MAX_WRITE_MILLIS = 400;
 
@@ -135,6 +141,12 @@
 
   private record Begun(StreamOrigin origin, long atMillis, Source source, boolean isDisputed) {
 
+    /** Returns this record if it agrees with another one, and a disputed one otherwise. */
+    Begun beside(Begun other) {
+      boolean agrees = !other.isDisputed && other.origin.equals(origin);
+      return new Begun(origin, atMillis, source, !agrees);
+    }
+
     Found found() {
       return isDisputed ? new Found.Unknown() : new Found.Known(origin);
     }
@@ -189,6 +201,7 @@
   private final List<Lookup> lookups = new ArrayList<>();
   private Set<StreamOrigin> written = Set.of(); // versions that the newest row names
   private Set<Long> writtenRoutes = Set.of();
+  private final Map<StreamOrigin, Long> unrecordedSinceMillis = new HashMap<>();
   private Cancellable nextRead = () -> {};
   private boolean isReading;
   private boolean isReadScheduled;
@@ -278,8 +291,12 @@
       return;
     }
     // The oldest record comes first, so that expired ones are found without a search.
-    known.remove(request);
-    known.put(request, new Begun(origin, scheduler.nowMillis(), Source.OWN, false));
+    Begun earlier = known.remove(request);
+    Begun begun = new Begun(origin, scheduler.nowMillis(), Source.OWN, false);
+    known.put(request, earlier == null ? begun : begun.beside(earlier));
+    if (earlier != null && !earlier.origin().equals(origin)) {
+      recordDispute(request, earlier, begun);
+    }
     exchange.onBegun(request, origin);
     long number = currentRow();
     Map<String, StreamOrigin> row = ownRows.computeIfAbsent(number, n -> new LinkedHashMap<>());
@@ -309,13 +326,16 @@
   }
 
   /**
-   * Returns whether the rows of this daemon name a version. Streams should begin only at such
-   * upstreams: where no row names a version, other daemons conclude that no stream began at it.
+   * Returns whether the rows of this daemon name a version, or could not for a while. Streams
+   * should begin only at such upstreams: where no row names a version, other daemons conclude that
+   * no stream began at it.
    *
    * @param origin service and version
    */
   boolean isRecorded(StreamOrigin origin) {
-    return written.contains(origin);
+    long now = scheduler.nowMillis();
+    long since = unrecordedSinceMillis.getOrDefault(origin, now);
+    return written.contains(origin) || now - since > MAX_UNRECORDED_MILLIS;
   }
 
   /**
@@ -384,20 +404,26 @@
    * gone on with it wrongly.
    */
   private void learn(String request, StreamOrigin origin, long atMillis, Source source) {
-    Begun earlier = known.putIfAbsent(request, new Begun(origin, atMillis, source, false));
+    evidence.onStream(origin, atMillis);
+    Begun told = new Begun(origin, atMillis, source, false);
+    Begun earlier = known.putIfAbsent(request, told);
     if (earlier == null || earlier.origin().equals(origin) || earlier.isDisputed()) {
       return;
     }
-    known.put(request, new Begun(earlier.origin(), earlier.atMillis(), earlier.source(), true));
+    known.put(request, earlier.beside(told));
+    recordDispute(request, earlier, told);
+  }
+
+  private void recordDispute(String request, Begun one, Begun other) {
     log.record(
         "stream_origin_disputed",
         Map.of(
             "request",
             request,
             "origins",
-            List.of(earlier.origin().toString(), origin.toString()),
+            List.of(one.origin().toString(), other.origin().toString()),
             "sources",
-            List.of(nameOf(earlier.source()), nameOf(source))));
+            List.of(nameOf(one.source()), nameOf(other.source()))));
   }
 
   private static String nameOf(Source source) {
@@ -685,6 +711,10 @@
     }
     Set<StreamOrigin> versions = seenVersions();
     Set<Long> routes = evidence.servedRoutes();
+    versions.stream()
+        .filter(v -> !written.contains(v))
+        .forEach(v -> unrecordedSinceMillis.putIfAbsent(v, scheduler.nowMillis()));
+    unrecordedSinceMillis.keySet().retainAll(versions);
     // Without streams, too, the rows tell which versions were in use.
     boolean isNew = !versions.equals(written) || !routes.equals(writtenRoutes);
     if (isNew || writtenRow != currentRow()) {
@@ -717,6 +747,7 @@
                   isStoreLost = !(w instanceof WriteResult.Committed);
                   if (!isStoreLost) {
                     written = versions;
+                    unrecordedSinceMillis.keySet().removeAll(versions);
                     writtenRoutes = routes;
                     isEraWritten |= hasEra;
                     writtenRow = numbers.get(numbers.size() - 1);
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -114,6 +114,11 @@
     row.routes().ifPresent(c -> c.forEach(v -> recordedRoutes.merge(v, atMillis, Math::max)));
   }
 
+  /** Records that a stream of another daemon began at a version. */
+  void onStream(StreamOrigin origin, long atMillis) {
+    recorded.add(origin, atMillis);
+  }
+
   /**
    * Records the era of the store.
    *
