--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -390,6 +390,31 @@
         .isEqualTo(isKnown ? new Found.Known(origin("v1")) : new Found.Unavailable());
   }
 
+  /**
+   * Guards against a needless refusal without the store in a fleet with few requests: a daemon that
+   * had nothing to report for a while is the same incarnation as before, and has not just started.
+   */
+  @ParameterizedTest
+  @CsvSource({"10_000, b.1, true", "20_000, b.1, true", "20_000, b.2, false"})
+  void countsDaemonThatWasIdleAsRunning(String idleMillis, String incarnation, boolean isKnown) {
+    scheduler.run(START_MILLIS);
+    final Daemon d = new Daemon("a", List.of("v1"));
+    scheduler.run(30_000);
+    d.origins.onPeerVersions("b.1", List.of(origin("v1")));
+    scheduler.run(Long.parseLong(idleMillis.replace("_", "")));
+    // The first report after the pause makes the records of silent daemons expire.
+    d.origins.onPeerVersions(incarnation, List.of(origin("v1")));
+    scheduler.run(8_000);
+    table.isDown = true;
+    final CompletableFuture<Found> found =
+        d.origins.find(Optional.of("id"), "h", "/a/x", TIMEOUT_MILLIS);
+    scheduler.run(VersionEvidence.REPORT_DELAY_MILLIS + 50);
+    d.origins.onPeerVersions(incarnation, List.of(origin("v1")));
+    scheduler.run(TIMEOUT_MILLIS);
+    assertThat(found.join())
+        .isEqualTo(isKnown ? new Found.Known(origin("v1")) : new Found.Unavailable());
+  }
+
   /**
    * Guards against streams that are refused, or go on at another version, since their daemon has
    * ended and the store turns the other one away that knows no upstream of the new version.
