--- a/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/streams/StreamModelTest.java
@@ -198,6 +198,43 @@
     assertThat(wentOn).isGreaterThanOrEqualTo(50);
   }
 
+  /**
+   * Guards against a stream that goes on at another service, since the route led there only between
+   * two answers of the store, which have only the newest configuration, to a daemon with a slow
+   * link.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 200, 20", "true, 200, 140", "true, 350, 400", "false, 200, 140"})
+  void joinsNoStreamOfServiceOfSkippedConfiguration(
+      boolean isNewestOnly, String millisInForce, String delayMillis) {
+    final long moved = 40_000;
+    final long inForce = Long.parseLong(millisInForce.replace("_", ""));
+    List<PlanEvent> events = new ArrayList<>();
+    join(events, 0, "u1", "s", "v1");
+    join(events, 0, "u2", "t", "v1");
+    events.add(
+        new PlanEvent.SlowStore(
+            moved - 5_000, 1, 20_000, Long.parseLong(delayMillis.replace("_", ""))));
+    events.add(new PlanEvent.Configure(moved - 50, List.of("s")));
+    events.add(new PlanEvent.Configure(moved, List.of("t")));
+    events.add(new PlanEvent.Configure(moved + inForce, List.of("s")));
+    for (int i = 0; i < 20; i++) {
+      events.add(
+          new PlanEvent.Begin(
+              moved + 50 + (inForce - 100) * i / 20,
+              "c" + i,
+              List.of(0, 1),
+              List.of(300L),
+              3_000,
+              false,
+              true,
+              false));
+    }
+    events.add(new PlanEvent.Kill(moved + inForce + 500, 0, -1));
+    Plan plan = new Plan(2, isNewestOnly, true, moved + 10_000, events);
+    assertThat(ExploreStreams.play(plan, 1, PlannedFault.NONE).joined()).isEmpty();
+  }
+
   private static void join(
       List<PlanEvent> events, long atMillis, String id, String service, String version) {
     events.add(new PlanEvent.Join(atMillis, id, new StreamOrigin(service, version), 5));
