--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -65,7 +65,7 @@
   /** Records the versions that another daemon has seen lately. */
   void onReport(String sender, Collection<StreamOrigin> versions) {
     long now = scheduler.nowMillis();
-    peers.expire(now - StreamOrigins.KEEP_MILLIS);
+    peers.expire(now - RouteHistory.KEEP_MILLIS);
     peers.onReport(sender, versions, now);
   }
 
@@ -259,8 +259,10 @@
    */
   Optional<StreamOrigin> byPeers(Set<String> services, long askedAtMillis) {
     observe();
+    // One that believes to be alone may have counted the others before they had started.
     boolean areAll =
-        peers.areAll(
+        daemonCount() > 1
+            && peers.areAll(
             services,
             askedAtMillis + REPORT_DELAY_MILLIS,
             askedAtMillis - StreamOrigins.KEEP_MILLIS,
