Daemons with load in the model, and a version that only one of them knows

Idle daemons send no load reports, so that the model concluded nothing from them once asked for senders heard for 16 s, and did not show the majority that has lost the store together.

--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/ExploreStreams.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/ExploreStreams.java
@@ -173,6 +173,9 @@
     List<Callable<SeedRun>> runs = new ArrayList<>();
     for (long s = first; s <= last; s++) {
       long seed = s;
+      if (RandomPlans.isMinority(seed) && without.contains(RandomPlans.Kind.MINORITY)) {
+        continue;
+      }
       runs.add(() -> new SeedRun(seed, play(plan(seed), seed, f)));
     }
     try {
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/RandomPlans.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/RandomPlans.java
@@ -21,7 +21,9 @@
     /** The route is led to other services. */
     ROUTE,
     /** The feed has only the newest change of each row. */
-    NEWEST_ONLY
+    NEWEST_ONLY,
+    /** All daemons but one lose the store together, and that one knows of a version. */
+    MINORITY
   }
 
   /** Time in which an upstream lists itself after its start. */
@@ -34,6 +36,7 @@
   private static final int SPREAD_MILLIS = 8_000;
 
   private static final long AFTER_MILLIS = 16_000;
+  private static final long MINORITY_MILLIS = 14_000;
   private static final long STREAM_BEFORE_MILLIS = 2_500;
   private static final int MAX_STREAMS = 24;
 
@@ -41,6 +44,7 @@
   private final List<PlanEvent> events = new ArrayList<>();
   private final List<String> listed = new ArrayList<>();
   private final int daemons;
+  private final boolean isMinority;
   private final boolean namesEra;
   private final boolean hasSecondService;
   private long releaseMillis;
@@ -49,11 +53,17 @@
 
   private RandomPlans(long seed) {
     random = new SplittableRandom(seed);
+    isMinority = isMinority(seed);
     daemons = 2 + random.nextInt(4);
     namesEra = isDrawn(0.7);
     hasSecondService = isDrawn(0.5);
   }
 
+  /** Returns whether in the plan of a seed one daemon knows more than all others. */
+  static boolean isMinority(long seed) {
+    return new SplittableRandom(~seed).nextInt(10) == 0;
+  }
+
   /** Returns the plan of a seed. */
   static Plan create(long seed) {
     return new RandomPlans(seed).build();
@@ -78,15 +88,22 @@
       }
     }
     boolean isNewestOnly = plan.isNewestOnly() && !kinds.contains(Kind.NEWEST_ONLY);
-    return new Plan(plan.daemons(), isNewestOnly, plan.namesEra(), plan.millis(), kept);
+    return new Plan(
+        plan.daemons(), isNewestOnly, plan.namesEra(), plan.hasLoad(), plan.millis(), kept);
   }
 
   private Plan build() {
     final boolean isNewestOnly = isDrawn(0.5);
     releaseMillis = isDrawn(0.4) ? 3_000 + random.nextInt(8_000) : 19_000 + random.nextInt(6_000);
+    if (isMinority) {
+      // Without the store, only daemons that have run for a while are relied on.
+      releaseMillis += MINORITY_MILLIS;
+    }
     outOfStep = random.nextInt(daemons);
     addFirstUpstreams();
-    if (isDrawn(0.5)) {
+    if (isMinority) {
+      addMinority();
+    } else if (isDrawn(0.5)) {
       addBriefVersion();
     } else {
       addTroubleOfDaemon(outOfStep);
@@ -104,7 +121,8 @@
       addConfigurations();
     }
     events.sort(Comparator.comparingLong(PlanEvent::atMillis));
-    return new Plan(daemons, isNewestOnly, namesEra, releaseMillis + AFTER_MILLIS, events);
+    return new Plan(
+        daemons, isNewestOnly, namesEra, isMinority, releaseMillis + AFTER_MILLIS, events);
   }
 
   private boolean isDrawn(double probability) {
@@ -317,6 +335,47 @@
     }
   }
 
+  /**
+   * Adds a version that only one daemon knows, since all others have lost the store, and streams
+   * that begin there and are taken up at the others.
+   */
+  private void addMinority() {
+    final long from = releaseMillis;
+    final long millis = between(1_500, 7_000);
+    for (int d = 0; d < daemons; d++) {
+      if (d != outOfStep && isDrawn(0.9)) {
+        addCutStore(from + between(-200, 200), d, millis + between(0, 3_000));
+      }
+    }
+    if (isDrawn(0.8)) {
+      events.add(new PlanEvent.CutPeers(from, outOfStep, millis + between(0, 2_000)));
+    }
+    long joinsAt = from + between(50, 800);
+    join(joinsAt, FIRST, "v2");
+    if (isDrawn(0.3)) {
+      leave(joinsAt + between(300, millis), listed.get(listed.size() - 1));
+    }
+    if (isDrawn(0.6)) {
+      events.add(
+          new PlanEvent.Kill(
+              joinsAt + between(300, millis), outOfStep, isDrawn(0.5) ? -1 : between(300, 5_000)));
+    }
+    int count = 6 + random.nextInt(MAX_STREAMS - 6);
+    for (int i = 1; i <= count; i++) {
+      int other = (outOfStep + 1 + random.nextInt(daemons - 1)) % daemons;
+      events.add(
+          new PlanEvent.Begin(
+              joinsAt + between(10, millis / 2),
+              "c" + i,
+              List.of(outOfStep, other, random.nextInt(daemons), other),
+              List.of(between(80, 800)),
+              between(20, 3_000),
+              isDrawn(0.4),
+              isDrawn(0.7),
+              isDrawn(0.2)));
+    }
+  }
+
   private void addOutOfStep(long from, long millis) {
     long peersMillis = millis + (isDrawn(0.5) ? 0 : between(0, 3_000));
     switch (random.nextInt(5)) {
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/StreamModel.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/StreamModel.java
@@ -16,6 +16,10 @@
   /** Time for which a trouble of a daemon is named after it ended. */
   private static final long RECENT_MILLIS = 16_000;
 
+  /** Interval of the streams of the load, shorter than a stream. */
+  private static final long LOAD_INTERVAL_MILLIS = 2_000;
+
+  private static final long LOAD_PAUSE_MILLIS = 200;
   private static final long FIRST_START_MILLIS = 1_000;
   private static final long STOP_GRACE_MILLIS = 3_000;
   private static final long RESTORED_CONFIGURATION_MILLIS = 2_000;
@@ -73,6 +77,9 @@
       int index = d;
       time.schedule(50L * d, () -> start(index));
     }
+    if (plan.hasLoad()) {
+      time.schedule(LOAD_INTERVAL_MILLIS, () -> beginLoad(1));
+    }
     plan.events().forEach(e -> time.schedule(e.atMillis(), () -> play(e)));
     time.runUntil(plan.millis());
     List<StreamRun.Joined> joined =
@@ -85,6 +92,23 @@
     return new StreamRun(joined, callers.size(), takeUps);
   }
 
+  /** Begins a stream at each daemon, and again after an interval. */
+  private void beginLoad(int round) {
+    for (int d = 0; d < plan.daemons(); d++) {
+      play(
+          new PlanEvent.Begin(
+              time.nowMillis(),
+              "load" + round + "-" + d,
+              List.of(d, (d + 1) % plan.daemons()),
+              List.of(),
+              LOAD_PAUSE_MILLIS,
+              true,
+              true,
+              false));
+    }
+    time.schedule(LOAD_INTERVAL_MILLIS, () -> beginLoad(round + 1));
+  }
+
   private List<String> linesOf(String stream) {
     return lines.stream()
         .filter(l -> l.stream().isEmpty() || l.stream().equals(stream))
