--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/RandomPlans.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/RandomPlans.java
@@ -2,8 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.hibiscusreel.core.forward.StreamOrigin;
@@ -15,12 +16,19 @@
   enum Kind {
     /** An upstream starts again under its identity at another version. */
     RESTART,
+    /** Its entry is of the version before for a while after such a start. */
+    LATE_ENTRY,
     /** The route is led to other services. */
     ROUTE,
     /** The feed has only the newest change of each row. */
-    NEWEST_ONLY
+    NEWEST_ONLY,
+    /** All daemons but one lose the store together, and that one knows of a version. */
+    MINORITY
   }
 
+  /** Time in which an upstream lists itself after its start. */
+  private static final long PROMPT_MILLIS = 5;
+
   private static final String FIRST = "s";
   private static final String SECOND = "t";
 
@@ -28,6 +36,7 @@
   private static final int SPREAD_MILLIS = 8_000;
 
   private static final long AFTER_MILLIS = 16_000;
+  private static final long MINORITY_MILLIS = 14_000;
   private static final long STREAM_BEFORE_MILLIS = 2_500;
   private static final int MAX_STREAMS = 24;
 
@@ -35,6 +44,7 @@
   private final List<PlanEvent> events = new ArrayList<>();
   private final List<String> listed = new ArrayList<>();
   private final int daemons;
+  private final boolean isMinority;
   private final boolean namesEra;
   private final boolean hasSecondService;
   private long releaseMillis;
@@ -43,11 +53,17 @@
 
   private RandomPlans(long seed) {
     random = new SplittableRandom(seed);
+    isMinority = isMinority(seed);
     daemons = 2 + random.nextInt(4);
     namesEra = isDrawn(0.7);
     hasSecondService = isDrawn(0.5);
   }
 
+  /** Returns whether in the plan of a seed one daemon knows more than all others. */
+  static boolean isMinority(long seed) {
+    return new SplittableRandom(~seed).nextInt(10) == 0;
+  }
+
   /** Returns the plan of a seed. */
   static Plan create(long seed) {
     return new RandomPlans(seed).build();
@@ -55,27 +71,39 @@
 
   /** Returns a plan without the events of some kinds. */
   static Plan without(Plan plan, Set<Kind> kinds) {
-    Set<String> started = new HashSet<>();
+    Map<String, StreamOrigin> started = new HashMap<>();
     List<PlanEvent> kept = new ArrayList<>();
     for (PlanEvent e : plan.events()) {
-      boolean isRestart = e instanceof PlanEvent.Join j && !started.add(j.upstream());
+      boolean isRestart =
+          e instanceof PlanEvent.Join j
+              && !started.merge(j.upstream(), j.origin(), (a, b) -> a).equals(j.origin());
       boolean isLeftOut =
           (isRestart && kinds.contains(Kind.RESTART))
               || (e instanceof PlanEvent.Configure && kinds.contains(Kind.ROUTE));
-      if (!isLeftOut) {
+      if (!isLeftOut && isRestart && kinds.contains(Kind.LATE_ENTRY)) {
+        PlanEvent.Join j = (PlanEvent.Join) e;
+        kept.add(new PlanEvent.Join(j.atMillis(), j.upstream(), j.origin(), PROMPT_MILLIS));
+      } else if (!isLeftOut) {
         kept.add(e);
       }
     }
     boolean isNewestOnly = plan.isNewestOnly() && !kinds.contains(Kind.NEWEST_ONLY);
-    return new Plan(plan.daemons(), isNewestOnly, plan.namesEra(), plan.millis(), kept);
+    return new Plan(
+        plan.daemons(), isNewestOnly, plan.namesEra(), plan.hasLoad(), plan.millis(), kept);
   }
 
   private Plan build() {
     final boolean isNewestOnly = isDrawn(0.5);
     releaseMillis = isDrawn(0.4) ? 3_000 + random.nextInt(8_000) : 19_000 + random.nextInt(6_000);
+    if (isMinority) {
+      // Without the store, only daemons that have run for a while are relied on.
+      releaseMillis += MINORITY_MILLIS;
+    }
     outOfStep = random.nextInt(daemons);
     addFirstUpstreams();
-    if (isDrawn(0.5)) {
+    if (isMinority) {
+      addMinority();
+    } else if (isDrawn(0.5)) {
       addBriefVersion();
     } else {
       addTroubleOfDaemon(outOfStep);
@@ -93,7 +121,8 @@
       addConfigurations();
     }
     events.sort(Comparator.comparingLong(PlanEvent::atMillis));
-    return new Plan(daemons, isNewestOnly, namesEra, releaseMillis + AFTER_MILLIS, events);
+    return new Plan(
+        daemons, isNewestOnly, namesEra, isMinority, releaseMillis + AFTER_MILLIS, events);
   }
 
   private boolean isDrawn(double probability) {
@@ -112,7 +141,7 @@
   private void join(long atMillis, String service, String version) {
     String id = "u" + ++upstreams;
     listed.add(id);
-    long listedAfter = isDrawn(0.8) ? 5 : between(5, 400);
+    long listedAfter = isDrawn(0.8) ? PROMPT_MILLIS : between(PROMPT_MILLIS, 400);
     events.add(new PlanEvent.Join(atMillis, id, new StreamOrigin(service, version), listedAfter));
   }
 
@@ -127,7 +156,7 @@
 
   private void addTroubleOfDaemon(int daemon) {
     long at = releaseMillis + between(-2_500, 2_000);
-    long millis = between(300, isDrawn(0.3) ? 12_000 : 5_000);
+    long millis = between(isDrawn(0.2) ? 20 : 300, isDrawn(0.3) ? 12_000 : 5_000);
     switch (random.nextInt(8)) {
       case 0, 1 -> addStandStill(at, daemon, millis);
       case 2 -> addCutStore(at, daemon, millis);
@@ -138,7 +167,7 @@
       }
       case 5 -> {
         addCutStore(at, daemon, millis);
-        addStandStill(at + between(0, millis), daemon, between(300, 4_000));
+        addStandStill(at + between(0, millis), daemon, between(20, 4_000));
       }
       case 6 -> events.add(new PlanEvent.SlowStore(at, daemon, millis, between(50, 900)));
       default -> events.add(new PlanEvent.Kill(at, daemon, between(100, 3_000)));
@@ -156,6 +185,8 @@
       StoreLink.State.DEAF,
       StoreLink.State.HANGING,
       StoreLink.State.HANGING,
+      StoreLink.State.UPSTREAMS_HANGING,
+      StoreLink.State.ROWS_HANGING
     };
     events.add(new PlanEvent.CutStore(at, daemon, millis, states[random.nextInt(states.length)]));
   }
@@ -167,7 +198,9 @@
       long at = releaseMillis + between(0, 3_000);
       if (isDrawn(0.12)) {
         String id = before.get(random.nextInt(before.size()));
-        events.add(new PlanEvent.Join(at, id, new StreamOrigin(FIRST, "v2"), between(5, 1_500)));
+        StreamOrigin other = new StreamOrigin(FIRST, "v2");
+        StreamOrigin same = originOf(id);
+        events.add(new PlanEvent.Join(at, id, isDrawn(0.5) ? other : same, between(5, 1_500)));
         continue;
       }
       String service = hasSecondService && isDrawn(0.2) ? SECOND : FIRST;
@@ -188,6 +221,14 @@
     }
   }
 
+  private StreamOrigin originOf(String id) {
+    return events.stream()
+        .filter(e -> e instanceof PlanEvent.Join j && j.upstream().equals(id))
+        .map(e -> ((PlanEvent.Join) e).origin())
+        .findFirst()
+        .orElseThrow();
+  }
+
   private void leave(long atMillis, String id) {
     long unlistedAfter = isDrawn(0.5) ? 0 : between(0, 3_000);
     events.add(
@@ -294,6 +335,47 @@
     }
   }
 
+  /**
+   * Adds a version that only one daemon knows, since all others have lost the store, and streams
+   * that begin there and are taken up at the others.
+   */
+  private void addMinority() {
+    final long from = releaseMillis;
+    final long millis = between(1_500, 7_000);
+    for (int d = 0; d < daemons; d++) {
+      if (d != outOfStep && isDrawn(0.9)) {
+        addCutStore(from + between(-200, 200), d, millis + between(0, 3_000));
+      }
+    }
+    if (isDrawn(0.8)) {
+      events.add(new PlanEvent.CutPeers(from, outOfStep, millis + between(0, 2_000)));
+    }
+    long joinsAt = from + between(50, 800);
+    join(joinsAt, FIRST, "v2");
+    if (isDrawn(0.3)) {
+      leave(joinsAt + between(300, millis), listed.get(listed.size() - 1));
+    }
+    if (isDrawn(0.6)) {
+      events.add(
+          new PlanEvent.Kill(
+              joinsAt + between(300, millis), outOfStep, isDrawn(0.5) ? -1 : between(300, 5_000)));
+    }
+    int count = 6 + random.nextInt(MAX_STREAMS - 6);
+    for (int i = 1; i <= count; i++) {
+      int other = (outOfStep + 1 + random.nextInt(daemons - 1)) % daemons;
+      events.add(
+          new PlanEvent.Begin(
+              joinsAt + between(10, millis / 2),
+              "c" + i,
+              List.of(outOfStep, other, random.nextInt(daemons), other),
+              List.of(between(80, 800)),
+              between(20, 3_000),
+              isDrawn(0.4),
+              isDrawn(0.7),
+              isDrawn(0.2)));
+    }
+  }
+
   private void addOutOfStep(long from, long millis) {
     long peersMillis = millis + (isDrawn(0.5) ? 0 : between(0, 3_000));
     switch (random.nextInt(5)) {
