--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/ModelDaemon.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/ModelDaemon.java
@@ -119,7 +119,7 @@
             view,
             host,
             WRITES_PER_SECOND,
-            fleet::daemonCount,
+            view::daemonCount,
             new StreamReports(),
             log);
     this.forwarder =
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/streams/PlannedFault.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/streams/PlannedFault.java
@@ -73,7 +73,28 @@
     }
   }
 
+  /**
+   * Returns the view of a daemon. With the faults of views, a view counts without the agreement of
+   * other daemons and without a long history of the configuration, since these would hide the
+   * fault.
+   */
   FleetView view(FleetView view, ModelProcess process) {
+    return switch (this) {
+      case CATCH_UP_FROM_LAST_POLL, GAPS_COUNT_AS_FOLLOWED, BRIEF_LISTINGS_MISSED ->
+          changed(
+              faultyView(view, process),
+              (method, result) ->
+                  switch (method) {
+                    case "daemonCount" -> 1;
+                    case "configurationFollowedMillis" ->
+                        (long) result > 0 ? Long.MAX_VALUE : result;
+                    default -> result;
+                  });
+      default -> view;
+    };
+  }
+
+  private FleetView faultyView(FleetView view, ModelProcess process) {
     long startMillis = process.nowMillis();
     return switch (this) {
       case CATCH_UP_FROM_LAST_POLL ->
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -263,10 +263,10 @@
     boolean areAll =
         daemonCount() > 1
             && peers.areAll(
-            services,
-            askedAtMillis + REPORT_DELAY_MILLIS,
-            askedAtMillis - StreamOrigins.KEEP_MILLIS,
-            daemonCount());
+                services,
+                askedAtMillis + REPORT_DELAY_MILLIS,
+                askedAtMillis - StreamOrigins.KEEP_MILLIS,
+                daemonCount());
     return areAll && !isConfigurationOutdated() && hasLongView() && isConfigurationFollowed()
         ? only(services)
         : Optional.empty();
