Answer take-ups that come during a hanging read as soon as the others

Cause: only the questions from before a read were passed on to the other daemons when the store did not answer.

Change: all open questions are, and those that come while the read still hangs.

Evidence: the three cases of asksPeersForQuestionsThatComeDuringRead were red before; StreamOriginsTest and PinnedStreamsTest are green. Nothing that daemons send each other or store changes.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -177,6 +177,10 @@
       this.asked = asked;
     }
 
+    boolean isStoreLost() {
+      return hasFailed || isCurrent.equals(Optional.of(false));
+    }
+
     boolean hasOpenLookups() {
       return asked.stream().anyMatch(Lookup::isOpen);
     }
@@ -204,6 +208,7 @@
   private final Map<StreamOrigin, Long> unrecordedSinceMillis = new HashMap<>();
   private Cancellable nextRead = () -> {};
   private boolean isReading;
+  private Optional<Reading> current = Optional.empty();
   private boolean isReadScheduled;
   private boolean isWriting;
   private boolean isStoreLost; // the last write has failed or takes long
@@ -460,6 +465,9 @@
     Lookup lookup = new Lookup(services, request, now, now + waitMillis, new CompletableFuture<>());
     lookups.add(lookup);
     scheduler.schedule(timeoutMillis, () -> end(lookup, new Found.Unavailable(), Source.NONE));
+    if (current.filter(Reading::isStoreLost).isPresent()) {
+      awaitPeers(lookup);
+    }
     scheduleRead();
     return lookup.found();
   }
@@ -511,6 +519,7 @@
     isReading = true;
     readBeganAtMillis = scheduler.nowMillis();
     Reading reading = new Reading(List.copyOf(lookups));
+    current = Optional.of(reading);
     var unused =
         fleet
             .catchUpWithUpstreams(CATCH_UP_TIMEOUT_MILLIS)
@@ -527,12 +536,15 @@
 
   private void onCaughtUp(Reading reading, boolean isCurrent) {
     reading.isCurrent = Optional.of(isCurrent);
-    for (Lookup l : reading.asked) {
-      if (!isCurrent) {
-        awaitPeers(l);
-      } else {
-        evidence.byView(l.services().get()).ifPresent(o -> end(l, new Found.Known(o), Source.VIEW));
-      }
+    if (!isCurrent) {
+      // Those that came since would wait for a read that may hang for longer.
+      List.copyOf(lookups).forEach(this::awaitPeers);
+    } else {
+      reading.asked.forEach(
+          l ->
+              evidence
+                  .byView(l.services().get())
+                  .ifPresent(o -> end(l, new Found.Known(o), Source.VIEW)));
     }
     if (!reading.isScanning && reading.hasOpenLookups()) {
       scan(reading, "");
@@ -573,6 +585,7 @@
       return;
     }
     isReading = false;
+    current = Optional.empty();
     if (reading.isCurrent.get() && reading.isScanned && !reading.hasFailed) {
       reading.asked.forEach(this::endFromRows);
     }
--- a/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hibiscusreel/coordination/forward/StreamOriginsTest.java
@@ -564,6 +564,25 @@
     assertThat(found).isCompletedWithValue(new Found.Known(origin("v1")));
   }
 
+  /** Guards against callers that wait for a read that hangs, since they came after it had begun. */
+  @ParameterizedTest
+  @CsvSource({"300", "650", "900"})
+  void asksPeersForQuestionsThatComeDuringRead(long millisAfterFirst) {
+    SlowTable silent = new SlowTable();
+    scheduler.run(START_MILLIS);
+    final Daemon d = new Daemon("a", List.of("v1"), silent);
+    runHearing(d, 30_000);
+    silent.delayMillis = 60_000;
+    table.isDown = true;
+    var unused = d.origins.find(Optional.of("other"), "h", "/a/x", 1_500);
+    scheduler.run(millisAfterFirst);
+    final CompletableFuture<Found> found = d.origins.find(Optional.of("id"), "h", "/a/x", 1_500);
+    scheduler.run(300);
+    d.origins.onPeerVersions("b", List.of(origin("v1")));
+    scheduler.run(StreamOrigins.PEER_REPORTS_MILLIS);
+    assertThat(found).isCompletedWithValue(new Found.Known(origin("v1")));
+  }
+
   /** Guards against a record that comes too late since other calls to a slow store come first. */
   @Test
   void findsRecordWhileTheStoreIsSlow() {
