Keep only the age of the oldest row of a read

Cause: the times of all rows of the last 20 s were kept in a set that was searched for each row of each read, which grows with the square of the number of hosts.

Change: the oldest one of the last read is kept.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/StreamOrigins.java
@@ -625,6 +625,7 @@
 
   private void apply(List<Row> rows) {
     evidence.onEra(table.era());
+    evidence.onRead();
     Map<String, OriginRow> contents = new LinkedHashMap<>(); // by key of the row
     Map<String, Long> newest = new HashMap<>(); // by host
     for (Row r : rows) {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/VersionEvidence.java
@@ -37,7 +37,7 @@
   private final PeerVersions peers = new PeerVersions();
   private final Map<Long, Long> recordedRoutes = new HashMap<>(); // last time by digest
   private long lastRowWithoutRoutesAtMillis = Long.MIN_VALUE / 2;
-  private final Set<Long> rowsAtMillis = new HashSet<>();
+  private long oldestRowAtMillis = Long.MAX_VALUE; // of the last read
   private long newestPeerConfiguration;
   private long newestPeerConfigurationAtMillis;
   private long era;
@@ -79,6 +79,11 @@
     }
   }
 
+  /** Begins a read of all rows. */
+  void onRead() {
+    oldestRowAtMillis = Long.MAX_VALUE;
+  }
+
   /**
    * Records what a row says of the versions.
    *
@@ -86,8 +91,7 @@
    * @param atMillis monotonic time at which it was written, in milliseconds
    */
   void onRow(OriginRow row, long atMillis) {
-    rowsAtMillis.removeIf(at -> at < atMillis - StreamOrigins.ROWS_MILLIS);
-    rowsAtMillis.add(atMillis);
+    oldestRowAtMillis = Math.min(oldestRowAtMillis, atMillis);
     record(row, atMillis);
   }
 
@@ -217,29 +221,18 @@
   Optional<StreamOrigin> byRows(Set<String> services) {
     long oldest = scheduler.nowMillis() - StreamOrigins.ROWS_MILLIS;
     boolean hasRows = services.stream().anyMatch(s -> !recorded.since(s, oldest).isEmpty());
-    boolean isWholeTimeRecorded =
-        oldestRowAtMillis(oldest) <= oldest + 2 * StreamOrigins.ROW_MILLIS || isFirstStart();
-    boolean areServicesKnown = areRoutesKnown(oldest);
-    return hasRows && isEraOld() && isWholeTimeRecorded && areServicesKnown
+    return hasRows && isEraOld() && isWholeTimeRecorded(oldest) && areRoutesKnown(oldest)
         ? only(services)
         : Optional.empty();
   }
 
   /**
-   * Returns when the oldest row was written that counts. After an outage of the store, the rows are
-   * those of daemons that have started since.
+   * Returns whether a row is almost as old as rows that count may be, or no daemon has started
+   * before. After an outage of the store, the rows are those of daemons that have started since.
    */
-  private long oldestRowAtMillis(long oldestMillis) {
-    return rowsAtMillis.stream()
-        .mapToLong(Long::longValue)
-        .filter(at -> at >= oldestMillis)
-        .min()
-        .orElse(Long.MAX_VALUE);
-  }
-
-  /** Returns whether no daemon has written rows before those that count. */
-  private boolean isFirstStart() {
-    return clock.millis() - eraSinceMillis < StreamOrigins.ROWS_MILLIS;
+  private boolean isWholeTimeRecorded(long oldestMillis) {
+    boolean isFirstStart = clock.millis() - eraSinceMillis < StreamOrigins.ROWS_MILLIS;
+    return isFirstStart || oldestRowAtMillis <= oldestMillis + 2 * StreamOrigins.ROW_MILLIS;
   }
 
   /**
