Check responses from the raw bytes before the HTTP library reads them

What callers saw: a complete 200 with a body that was not the upstream's (the framing of chunks, 5 of 18 bytes, none), or with a field that no upstream sent, when the head of the response was spoilt: two lengths, an empty one, a coding other than chunked, a status such as 2000, a name with a blank or a control byte, a NUL or a bare CR in a value, a chunk size beyond 32 bits. A 503 with such a head was taken for proof that the request had not run.

Cause: ActiveJ's client reads heads leniently. It takes or drops lines before anything of ours sees them, so a check of parsed fields is too late. RequestFraming closes this boundary for requests only.

Change: ResponseFraming reads the bytes of each connection of AsyncHttpClient in ConnectionTracker, with the grammar that it shares with RequestFraming. An invalid response ends the connection; the attempt is broken, and the request may have run. All users of AsyncHttpClient are covered: upstreams, engines, plain services, the stores, objects and hosts. A LF alone still ends a line of a head, and chunk sizes of nine digits are read, as before. Extensions of chunks are limited in proportion to the body in both directions, so that a long stream is not refused for their sum.

Eight forms that RFC 9112 allows or tolerates don't: HTTP/1.2, an empty line first, a list of equal lengths, white space around a chunk size, chunk sizes of ten digits or ended by a LF were refused before too, by the library; white space after the coding gave the caller the framing of chunks and is refused now.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -16,7 +16,8 @@
 /**
  * Records for each request whether a connection was opened for it, and which one. ActiveJ reports a
  * refused connection and one that broke later with the same exception type, and it has no method to
- * abort a request in progress.
+ * abort a request in progress. Checks the responses before ActiveJ reads them, since it takes many
+ * invalid heads for valid ones.
  */
 final class ConnectionTracker {
 
@@ -26,7 +27,7 @@
    */
   static final long MAX_FRAMING_BYTES = 256 * 1024;
 
-  private final IdentityHashMap<TcpSocket, State> limitedStates = new IdentityHashMap<>();
+  private final IdentityHashMap<TcpSocket, State> states = new IdentityHashMap<>();
   private final TrafficListener traffic;
   private TcpSocket lastOpenedSocket;
 
@@ -37,6 +38,7 @@
   /** State of the connection of one request. */
   final class State {
 
+    private final ResponseFraming framing;
     private boolean connecting;
     private boolean aborted;
     private boolean isFramingLimited;
@@ -45,6 +47,10 @@
     private TcpSocket socket;
     private Runnable onConnected = () -> {};
 
+    private State(ResponseFraming framing) {
+      this.framing = framing;
+    }
+
     void onConnected(Runnable action) {
       onConnected = action;
     }
@@ -58,7 +64,7 @@
     void abort() {
       aborted = true;
       if (socket != null) {
-        limitedStates.remove(socket);
+        states.remove(socket);
         socket.close();
       }
     }
@@ -75,16 +81,25 @@
       bodyBytes += count;
     }
 
-    private void onReceived(int count) {
-      receivedBytes += count;
-      if (receivedBytes > MAX_FRAMING_BYTES + 2 * bodyBytes) {
+    private void onReceived(ByteBuf buf) {
+      receivedBytes += buf.readRemaining();
+      if (isFramingLimited && receivedBytes > MAX_FRAMING_BYTES + 2 * bodyBytes) {
         abort();
+        return;
       }
+      framing.read(buf.array(), buf.head(), buf.tail()).ifPresent(f -> refuse(buf, f));
+    }
+
+    /** Withholds bytes of an invalid response, and ends its connection. */
+    private void refuse(ByteBuf buf, String fault) {
+      buf.tail(buf.head());
+      states.remove(socket);
+      socket.closeEx(new MalformedHttpException("invalid response: " + fault));
     }
   }
 
   State track(HttpRequest request) {
-    State state = new State();
+    State state = new State(new ResponseFraming());
     request.attach(State.class, state);
     return state;
   }
@@ -123,9 +138,7 @@
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
       State state = request.getAttachment(State.class);
       state.socket = lastOpenedSocket;
-      if (state.isFramingLimited) {
-        limitedStates.put(lastOpenedSocket, state);
-      }
+      states.put(lastOpenedSocket, state);
       if (state.aborted) {
         lastOpenedSocket.close();
       } else {
@@ -168,9 +181,9 @@
     @Override
     public void onRead(TcpSocket socket, ByteBuf buf) {
       traffic.onReceived(buf.readRemaining());
-      State state = limitedStates.get(socket);
+      State state = states.get(socket);
       if (state != null) {
-        state.onReceived(buf.readRemaining());
+        state.onReceived(buf);
       }
     }
 
@@ -193,7 +206,7 @@
 
     @Override
     public void onDisconnect(TcpSocket socket) {
-      limitedStates.remove(socket);
+      states.remove(socket);
     }
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
@@ -35,7 +35,7 @@
   /** Longest value of a checked field, and longest start line, in bytes. */
   private static final int MAX_KEPT_VALUE = 64 * 1024;
 
-  /** Longest head, chunk extension or trailer section, in bytes. */
+  /** Longest head, and longest extensions and trailers beyond two bytes for each of a body. */
   private static final int MAX_SECTION_BYTES = 256 * 1024;
 
   private static final Set<String> KNOWN_CODINGS =
@@ -146,6 +146,7 @@
     }
     int skipped = (int) Math.min(remaining, to - from);
     remaining -= skipped;
+    sectionBytes = (int) Math.max(0, sectionBytes - 2L * skipped);
     if (remaining == 0) {
       completed += state == State.BODY ? 1 : 0;
       state = state == State.BODY ? State.BEFORE_MESSAGE : State.CHUNK_CR;
--- /dev/null
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
@@ -0,0 +1,72 @@
+package org.hibiscusreel.daemon.http;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Checks the one response on a connection as RFC 9112 says, from the raw bytes before anything else
+ * reads them. A response whose head or framing is invalid must not be used, since its fields and
+ * the end of its body can't be told.
+ */
+public final class ResponseFraming extends MessageFraming {
+
+  private static final int MAX_SIZE_DIGITS = 9;
+
+  /** The reason may be missing together with the space before it, which many servers leave out. */
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("(\\S+) [1-5][0-9]{2}(?: .*)?", Pattern.DOTALL);
+
+  private String fault;
+
+  /** Creates a check of a response. */
+  public ResponseFraming() {
+    super(new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS));
+  }
+
+  /**
+   * Reads the next bytes of the connection. Must not be called after a fault.
+   *
+   * @param bytes array that holds them
+   * @param from index of the first one
+   * @param to index after the last one
+   * @return what is wrong with the response; empty if nothing is wrong so far
+   */
+  public Optional<String> read(byte[] bytes, int from, int to) {
+    int i = from;
+    // Bytes after the response belong to no request, and without a length all bytes are body.
+    while (i < to && !isFaulty() && completed() == 0) {
+      i = readNext(bytes, i, to);
+    }
+    return Optional.ofNullable(fault);
+  }
+
+  @Override
+  void onBegin() {}
+
+  @Override
+  boolean isStartLineCharacter(int c) {
+    return c == '\t' || (c >= ' ' && c != 0x7f);
+  }
+
+  @Override
+  void onStartLine(String line) {
+    Matcher parts = STATUS_LINE.matcher(line);
+    if (parts.matches()) {
+      checkVersion(parts.group(1));
+    } else {
+      fail("a status line that is not VERSION STATUS REASON");
+    }
+  }
+
+  @Override
+  boolean onHeadEnd() {
+    return true;
+  }
+
+  @Override
+  void onFault(String reason, boolean isUnsupported) {
+    fault = reason;
+  }
+}
--- a/daemon/src/test/java/org/hibiscusreel/daemon/engine/HttpEngineClientTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/engine/HttpEngineClientTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpEngineClientTest {
 
@@ -133,6 +134,26 @@
     }
   }
 
+  /** Guards against a head that is invalid and is taken for a refusal or for a stream. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 429 Slow\r\nRetry After: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nContent-Length : 0\r\n\r\n",
+        "HTTP/1.1 400 Bad\r\nContent-Length: 2\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\n",
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"
+      })
+  void reportsInvalidHeadAsBroken(String head) throws Exception {
+    byte[] response =
+        (head + piece(0, "un") + LAST + "data: [DONE]\n\n").getBytes(StandardCharsets.UTF_8);
+    try (RawServer s = new RawServer((line, socket, out) -> out.write(response))) {
+      start(s.address());
+
+      assertThat(next()).isInstanceOf(EngineFailure.Broken.class);
+    }
+  }
+
   @Test
   void tellsRefusedConnectionsFromBrokenOnes() throws Exception {
     int port;
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransportTest.java
@@ -191,6 +191,39 @@
         .isEqualTo("[Limited[perSecond=2.0]][failure NOT_EXECUTED]");
   }
 
+  /** Guards against a limit that is taken from a head whose fields can't be told apart. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nOwn: yes\r\nLimit: 2\r\nX Y: z\r\nContent-Length: 2\r\n\r\nhi",
+        "HTTP/1.1 200 OK\r\nOwn: yes\r\nLimit: 2\r\nContent-Length :\r\n\r\nhi",
+        "HTTP/1.1 200 OK\r\nwhat is this\r\nOwn: yes\r\nLimit: 2\r\n\r\nhi",
+        "HTTP/1.1 000 OK\r\nOwn: yes\r\nLimit: 2\r\nContent-Length: 2\r\n\r\nhi",
+        "HTTP/1.1 503 No\r\nLimit: 2\r\nX: \0\r\nContent-Length: 0\r\n\r\n"
+      })
+  void takesNoNoticeFromInvalidHead(String answer) throws Exception {
+    assertThat(receivedEventsFrom(answer)).isEqualTo("[failure BROKEN]");
+  }
+
+  /**
+   * Guards against a body that looks complete, or is lost as a whole, because a chunk is invalid.
+   */
+  @Test
+  void deliversBodyThatCameBeforeInvalidChunk() throws Exception {
+    RawServer.Handler handler =
+        (line, socket, out) -> {
+          String begin = OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+          out.write(begin.getBytes(StandardCharsets.UTF_8));
+          out.flush();
+          Thread.sleep(100);
+          out.write("what is this".getBytes(StandardCharsets.UTF_8));
+        };
+    try (RawServer server = new RawServer(handler)) {
+      send(server.address());
+      assertThat(receivedEvents()).isEqualTo("[head 200]hello[failure BROKEN]");
+    }
+  }
+
   /** Guards against treating bytes after the response as part of it. */
   @Test
   void ignoresBytesAfterCompleteResponse() throws Exception {
