Reset relayed responses that are invalid, and take no notice from them

The relay itself took leaving, limits, pauses and brittleness from heads that no one could read alike, and, if the lines of a head ended with LF alone, from lines of the body.

Cause: a relay passes bytes on and reads the head in MessageHead, which skips lines without a colon and looks only for CR LF CR LF.

Change: the relay puts the bytes through ResponseFraming first. An invalid response resets the connection to the origin, as any other failure of the upstream does, and logs relay_reset. MessageHead ends lines and heads where ResponseFraming does.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
@@ -6,9 +6,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.hibiscusreel.coordination.forward.HeaderField;
 
-/** Collects the first bytes of an HTTP message until its head is complete. */
+/**
+ * Collects the first bytes of an HTTP message until its head is complete. A line may end with a LF
+ * alone, as in {@link org.hibiscusreel.daemon.http.ResponseFraming}.
+ */
 final class MessageHead {
 
   /** Result of adding bytes. */
@@ -19,7 +24,7 @@
   }
 
   private static final String LINE_END = "\r\n";
-  private static final String HEAD_END = "\r\n\r\n";
+  private static final Pattern HEAD_END = Pattern.compile("\r?\n\r?\n");
 
   private final int maxBytes;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -33,12 +38,12 @@
   State add(byte[] array, int offset, int length) {
     bytes.write(array, offset, length);
     String text = bytes.toString(StandardCharsets.ISO_8859_1);
-    int end = text.indexOf(HEAD_END);
-    if (end < 0) {
+    Matcher end = HEAD_END.matcher(text);
+    if (!end.find()) {
       return bytes.size() > maxBytes ? State.TOO_LARGE : State.INCOMPLETE;
     }
-    headLength = end + HEAD_END.length();
-    lines = List.of(text.substring(0, end).split(LINE_END, -1));
+    headLength = end.end();
+    lines = List.of(text.substring(0, end.start()).split("\r?\n", -1));
     return State.COMPLETE;
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
@@ -94,7 +94,7 @@
    * @param notices learns what the passing responses say of their upstreams
    * @param dialect message format of the upstreams
    * @param traffic receives the number of bytes exchanged
-   * @param log receives a line for each request that is not passed on
+   * @param log receives a line for each request that is not passed on and each invalid response
    */
   RelayServer(
       NioReactor reactor,
@@ -206,6 +206,10 @@
         .ifPresent(n -> notices.onNotice(upstream, n, sentAtMillis));
   }
 
+  void onInvalidResponse(UpstreamEntry upstream, String fault) {
+    log.record("relay_reset", Map.of("upstream", upstream.id(), "reason", fault));
+  }
+
   void onClosed(RelayedConnection connection) {
     connections.remove(connection);
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
@@ -4,13 +4,16 @@
 import io.activej.common.MemSize;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.core.forward.UpstreamEntry;
+import org.hibiscusreel.daemon.http.ResponseFraming;
 
 /**
  * One request that another daemon, the origin, sends through this one. Of each direction at most
  * one buffer is kept: the next bytes are read when the other side has taken the last ones. The end
- * of the upstream's connection is passed on as an end, its failure as a reset.
+ * of the upstream's connection is passed on as an end, its failure and an invalid response as a
+ * reset.
  */
 final class RelayedConnection {
 
@@ -31,6 +34,7 @@
 
   private final RelayServer server;
   private final TcpSocket origin;
+  private final ResponseFraming responseFraming = new ResponseFraming();
   private MessageHead requestHead = new MessageHead(MAX_HEAD_BYTES);
   private MessageHead responseHead = new MessageHead(MAX_HEAD_BYTES);
   private UpstreamEntry entry;
@@ -169,6 +173,9 @@
                 reset();
               } else if (buf == null) {
                 end();
+              } else if (isInvalid(buf)) {
+                buf.recycle();
+                reset();
               } else {
                 count(buf);
                 watchResponseHead(buf);
@@ -182,6 +189,13 @@
     server.traffic().onSent(buf.readRemaining());
   }
 
+  /** Tells whether the response turned out to be invalid, so that it must not look complete. */
+  private boolean isInvalid(ByteBuf buf) {
+    Optional<String> fault = responseFraming.read(buf.array(), buf.head(), buf.tail());
+    fault.ifPresent(f -> server.onInvalidResponse(entry, f));
+    return fault.isPresent();
+  }
+
   private void watchResponseHead(ByteBuf buf) {
     if (responseHead == null) {
       return;
