End responses to HEAD, and of status 204 and 304, at their head

What callers saw: a 204 or 304, or the response to a HEAD, followed by bytes that an upstream had sent after it. By RFC 9112 such a response has no body, so a caller takes these bytes for the beginning of its next response. A 304, or the response to a HEAD, that only states the length of the body it leaves out was answered 502. On a route with streams the response to a HEAD ended with a last chunk.

Cause: ActiveJ's client finds the end of a body from its fields alone, and its server writes the chunks of any body that is streamed.

Change: ResponseFraming knows the method and the status. A response that ends with its head is taken without its further bytes, in AsyncHttpClient and in ResponseBodyReader. A 204 that states a body, which RFC 9110 forbids, is invalid: its status or its fields are spoilt. CallerResponseWriter streams nothing to a HEAD.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -27,6 +27,7 @@
 
   private final CallerDialect dialect;
   private final CallerConnections.TrackedConnection connection;
+  private final boolean isHeadRequest;
   private final BooleanSupplier shouldClose;
   private final Runnable onEnded;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
@@ -41,16 +42,19 @@
    *
    * @param dialect message format of the callers
    * @param connection connection of the caller
+   * @param isHeadRequest whether the response ends with its head
    * @param shouldClose tells whether the caller is asked to connect again
    * @param onEnded called once the response is known completely, or will never be
    */
   CallerResponseWriter(
       CallerDialect dialect,
       CallerConnections.TrackedConnection connection,
+      boolean isHeadRequest,
       BooleanSupplier shouldClose,
       Runnable onEnded) {
     this.dialect = dialect;
     this.connection = connection;
+    this.isHeadRequest = isHeadRequest;
     this.shouldClose = shouldClose;
     this.onEnded = onEnded;
   }
@@ -105,6 +109,11 @@
 
   @Override
   public void begin(int status, List<HeaderField> fields) {
+    if (isHeadRequest) {
+      // ActiveJ would send the last chunk of an empty body.
+      response.trySet(newResponse(status, fields).build());
+      return;
+    }
     response.trySet(newResponse(status, fields).withBodyStream(new Body()).build());
     connection.markStreamed();
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -2,6 +2,7 @@
 
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
@@ -159,7 +160,11 @@
     BodyMemory.Lease memory = bodies.lease(sender(request));
     CallerResponseWriter answer =
         new CallerResponseWriter(
-            dialect, connection, () -> stopping || !isReady.getAsBoolean(), memory::release);
+            dialect,
+            connection,
+            request.getMethod() == HttpMethod.HEAD,
+            () -> stopping || !isReady.getAsBoolean(),
+            memory::release);
     if (connection.isClosing()) {
       answer.refuse(CLOSING);
       return answer.response();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/HttpUpstreamTransport.java
@@ -101,7 +101,8 @@
       response.takeBodyStream().close();
       bodyReader.fail(rejected.outcome(), rejected.reason());
     } else if (check instanceof UpstreamDialect.ResponseCheck.Accepted accepted) {
-      if (response.getCode() == STATUS_OK && !hasEndMark(response)) {
+      boolean isEndVisible = hasEndMark(response) || bodyReader.endsWithHead();
+      if (response.getCode() == STATUS_OK && !isEndVisible) {
         sink.requireBody();
       }
       sink.listener.onHead(response.getCode(), accepted.fields());
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
@@ -72,6 +72,11 @@
     return fields;
   }
 
+  /** Returns the method of a request. */
+  String method() {
+    return lines.get(0).split(" ", -1)[0];
+  }
+
   /** Returns the status of a response, 0 if there is none. */
   int status() {
     String[] parts = lines.get(0).split(" ", -1);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
@@ -34,9 +34,9 @@
 
   private final RelayServer server;
   private final TcpSocket origin;
-  private final ResponseFraming responseFraming = new ResponseFraming();
   private MessageHead requestHead = new MessageHead(MAX_HEAD_BYTES);
   private MessageHead responseHead = new MessageHead(MAX_HEAD_BYTES);
+  private ResponseFraming responseFraming;
   private UpstreamEntry entry;
   private TcpSocket upstream;
   private long sentAtMillis;
@@ -116,6 +116,7 @@
     sentAtMillis = server.scheduler().nowMillis();
     byte[] head = requestHead.rewrite(RelayTicket.REQUEST_FIELD, entry.address());
     byte[] rest = requestHead.rest();
+    responseFraming = new ResponseFraming(requestHead.method());
     requestHead = null;
     ByteBuf first = ByteBuf.wrapForWriting(new byte[head.length + rest.length]);
     first.put(head);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ResponseBodyReader.java
@@ -31,6 +31,10 @@
     this.sink = sink;
   }
 
+  boolean endsWithHead() {
+    return exchange.endsWithHead();
+  }
+
   boolean isEnded() {
     return ended;
   }
@@ -39,6 +43,9 @@
     body = source;
     if (ended) {
       body.close();
+    } else if (exchange.endsWithHead()) {
+      close();
+      sink.onEnd();
     }
     read();
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -168,7 +168,7 @@
             });
     exchange
         .response()
-        .then(r -> load(r, terms.maxBodyBytes()).map(body -> toResult(r, terms.fields(), body)))
+        .then(r -> load(exchange, r, terms).map(body -> toResult(r, terms.fields(), body)))
         .whenResult(future::complete)
         .whenException(
             e -> {
@@ -192,13 +192,19 @@
   }
 
   /** Reads a body, and ends the reading once it is too large. */
-  private static Promise<byte[]> load(HttpResponse response, long maxBytes) {
+  private static Promise<byte[]> load(
+      Exchange exchange, HttpResponse response, ResponseTerms terms) {
+    if (exchange.endsWithHead()) {
+      response.takeBodyStream().close();
+      exchange.abort();
+      return Promise.of(new byte[0]);
+    }
     return ChannelSupplier.collect(
         response.takeBodyStream(),
         new ByteBufs(),
         (found, next) -> {
           found.add(next);
-          if (found.remainingBytes() > maxBytes) {
+          if (found.remainingBytes() > terms.maxBodyBytes()) {
             found.recycle();
             throw new BodyTooLargeException();
           }
@@ -277,6 +283,16 @@
       state.onConnected(action);
     }
 
+    /**
+     * Tells whether the response ends with its head, whatever length its fields state. ActiveJ
+     * takes the bytes after such a head for a body.
+     *
+     * @return false until the response has arrived
+     */
+    public boolean endsWithHead() {
+      return state.endsWithHead();
+    }
+
     /** Closes the connection of this request. */
     public void abort() {
       state.abort();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ConnectionTracker.java
@@ -81,6 +81,11 @@
       bodyBytes += count;
     }
 
+    /** Tells whether the response ends with its head, which was read and is valid. */
+    boolean endsWithHead() {
+      return framing.endsWithHead();
+    }
+
     private void onReceived(ByteBuf buf) {
       receivedBytes += buf.readRemaining();
       if (isFramingLimited && receivedBytes > MAX_FRAMING_BYTES + 2 * bodyBytes) {
@@ -99,7 +104,7 @@
   }
 
   State track(HttpRequest request) {
-    State state = new State(new ResponseFraming());
+    State state = new State(new ResponseFraming(request.getMethod().name()));
     request.attach(State.class, state);
     return state;
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
@@ -69,6 +69,7 @@
   private final StringBuilder kept = new StringBuilder();
   private State state = State.BEFORE_MESSAGE;
   private boolean sawCr;
+  private boolean isHeadRead;
   private boolean isTrailer;
   private boolean isOldVersion;
   private String checkedName = "";
@@ -123,6 +124,11 @@
     return state == State.BEFORE_MESSAGE && !sawCr;
   }
 
+  /** Tells whether the head of the last message that has begun was read and is proper. */
+  final boolean isHeadRead() {
+    return isHeadRead;
+  }
+
   final boolean isFaulty() {
     return isFaulty;
   }
@@ -131,6 +137,15 @@
     return isOldVersion;
   }
 
+  final boolean hasCoding() {
+    return codings != null;
+  }
+
+  /** Returns the length that the head states in bytes, 0 if it states none. */
+  final long length() {
+    return Math.max(0, length);
+  }
+
   /**
    * Reads one byte, or as much as there is of a body. Must not be called after a fault.
    *
@@ -186,6 +201,7 @@
       isOldVersion = false;
       length = -1;
       sectionBytes = 0;
+      isHeadRead = false;
       isTrailer = false;
       onBegin();
       state = State.START_LINE;
@@ -316,13 +332,14 @@
       completed++;
       return;
     }
-    boolean hasBody = onHeadEnd();
+    final boolean hasBody = onHeadEnd();
     if (!isFaulty && codings != null) {
       checkCodings();
     }
     if (isFaulty) {
       return;
     }
+    isHeadRead = true;
     if (hasBody && codings != null) {
       state = State.SIZE_BEGIN;
       digits = 0;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
@@ -13,16 +13,42 @@
 public final class ResponseFraming extends MessageFraming {
 
   private static final int MAX_SIZE_DIGITS = 9;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+  private static final int FIRST_FINAL_STATUS = 200;
 
   /** The reason may be missing together with the space before it, which many servers leave out. */
   private static final Pattern STATUS_LINE =
-      Pattern.compile("(\\S+) [1-5][0-9]{2}(?: .*)?", Pattern.DOTALL);
+      Pattern.compile("(\\S+) ([1-5][0-9]{2})(?: .*)?", Pattern.DOTALL);
 
+  private final boolean isHeadRequest;
+  private int status;
   private String fault;
 
-  /** Creates a check of a response. */
-  public ResponseFraming() {
+  /**
+   * Creates a check of a response.
+   *
+   * @param requestMethod method of the request
+   */
+  public ResponseFraming(String requestMethod) {
     super(new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS));
+    this.isHeadRequest = requestMethod.equals("HEAD");
+  }
+
+  /**
+   * Tells whether a valid head was read and no body follows it, whatever its fields state.
+   *
+   * @return true if the response ends with its head
+   */
+  public boolean endsWithHead() {
+    return isHeadRead() && !mayHaveBody();
+  }
+
+  private boolean mayHaveBody() {
+    return !isHeadRequest
+        && status >= FIRST_FINAL_STATUS
+        && status != NO_CONTENT
+        && status != NOT_MODIFIED;
   }
 
   /**
@@ -43,7 +69,9 @@
   }
 
   @Override
-  void onBegin() {}
+  void onBegin() {
+    status = 0;
+  }
 
   @Override
   boolean isStartLineCharacter(int c) {
@@ -55,6 +83,7 @@
     Matcher parts = STATUS_LINE.matcher(line);
     if (parts.matches()) {
       checkVersion(parts.group(1));
+      status = Integer.parseInt(parts.group(2));
     } else {
       fail("a status line that is not VERSION STATUS REASON");
     }
@@ -62,7 +91,10 @@
 
   @Override
   boolean onHeadEnd() {
-    return true;
+    if (status == NO_CONTENT && (hasCoding() || length() > 0)) {
+      fail("a body in a response without content");
+    }
+    return mayHaveBody();
   }
 
   @Override
--- a/daemon/src/test/java/org/hibiscusreel/daemon/http/ResponseFramingTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/http/ResponseFramingTest.java
@@ -36,7 +36,7 @@
   }
 
   private static boolean isValid(String text, long seed) {
-    return read(new ResponseFraming(), text, seed).isEmpty();
+    return read(new ResponseFraming("POST"), text, seed).isEmpty();
   }
 
   @Provide
