Report a response that is too large as an unknown outcome

What callers saw: on the product's own interface, a write to the table service or a call of a plain service never came to an outcome when the response had no length, or chunks, and more than 16 MiB.

Cause: such a response is HttpResult.TooLarge, which the two clients cast to HttpResult.Lost. The exception ended the future, on which nothing waits for exceptions.

Change: every result that is no response and was sent is unknown, as in the other clients.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpPlainServiceClient.java
@@ -54,6 +54,6 @@
           ? new Result.NotSent("the service refused with status " + r.status())
           : new Result.Responded(r.status(), r.contentType(), r.body());
     }
-    return new Result.Unknown(((HttpResult.Lost) result).reason());
+    return new Result.Unknown(result.toString());
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpTableService.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/platform/HttpTableService.java
@@ -116,7 +116,7 @@
       return new WriteResult.NotApplied(n.reason());
     }
     if (!(result instanceof HttpResult.Responded r)) {
-      return new WriteResult.Unknown(((HttpResult.Lost) result).reason());
+      return new WriteResult.Unknown(result.toString());
     }
     try {
       return switch (r.status()) {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/loop/RawServer.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/loop/RawServer.java
@@ -48,6 +48,14 @@
                 .getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Returns a handler that sends a response whose body has no length and is this large. */
+  public static Handler respondWithoutLength(int bodyBytes) {
+    return (line, socket, out) -> {
+      out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+      out.write(new byte[bodyBytes]);
+    };
+  }
+
   /** Returns the IP address and the port. */
   public String address() {
     return "127.0.0.1:" + server.getLocalPort();
--- a/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpTableServiceTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/platform/HttpTableServiceTest.java
@@ -24,6 +24,7 @@
 class HttpTableServiceTest {
 
   private static final long TIMEOUT_MILLIS = 1000;
+  private static final int TOO_LARGE_BYTES = 17 * 1024 * 1024;
 
   private final TestLoop loop = new TestLoop();
   private final List<String> calls = new ArrayList<>();
@@ -70,6 +71,14 @@
     }
   }
 
+  /** Guards against a write without an outcome, because its response is too large to be read. */
+  @Test
+  void reportsTooLargeResponseAsUnknown() throws Exception {
+    try (RawServer s = new RawServer(RawServer.respondWithoutLength(TOO_LARGE_BYTES))) {
+      assertThat(write(s.address())).isInstanceOf(WriteResult.Unknown.class);
+    }
+  }
+
   @Test
   void refusedConnectionIsCertainlyNotApplied() throws Exception {
     int port;
