Check the heads of responses that hibiscusreelctl reads

What operators saw: hibiscusreelctl took the response of a store with two lengths for one with the first of them, the framing of chunks for a body if the coding was not chunked alone, and any status of three digits.

Cause: HttpSender uses the HTTP client of the JDK, which is lenient in its own way, and looked at nothing but the status and the body.

Change: ResponseHeads checks status, lengths and codings. A response that is at fault is lost, so that a write is unknown and a read is retried. It stays a check of parsed fields, since https URLs are allowed and the client shows no bytes: a line that is no field is dropped by the client, which is left open. Names with blanks or control bytes, cut bodies and bad chunks were refused by the client before.

Result: HttpSenderTest, 13 invalid and 4 unusual responses over sockets: 9 of the 13 failed before, all 17 pass now.

--- a/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpSender.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpSender.java
@@ -112,7 +112,9 @@
 
   private static HttpReply toReply(HttpResponse<byte[]> response, Throwable failure) {
     if (response != null) {
-      return new HttpReply.Response(response.statusCode(), response.body());
+      return ResponseHeads.fault(response.statusCode(), response.headers())
+          .<HttpReply>map(f -> new HttpReply.Lost("invalid response: " + f))
+          .orElseGet(() -> new HttpReply.Response(response.statusCode(), response.body()));
     }
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     String reason =
