Take no response without its body for an empty result in hibiscusreelctl

What operators saw: if a store closed the connection after the head of its response, hibiscusreelctl showed no rows, no objects or no hosts, or reported a write as committed.

Cause: the clients looked up the fields of the body in whatever JSON they had parsed. An empty text has no fields, and a missing list was read as an empty one.

Change: the body must be an object that holds the field, as the clients of the daemon require; also for the events that a daemon lists.

--- a/ctl/src/main/java/org/hibiscusreel/ctl/command/TimelineCommand.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/command/TimelineCommand.java
@@ -2,9 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
@@ -22,12 +21,12 @@
 import org.hibiscusreel.core.timeline.TimelineEvent;
 import org.hibiscusreel.core.timeline.Timelines;
 import org.hibiscusreel.ctl.platform.HttpReply;
+import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /** Shows the events of all daemons in causal order. */
 @Parameters(commandDescription = "Show the events of all daemons in causal order")
 public final class TimelineCommand extends Command {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int OK = 200;
   private static final int MAX_PAGES = 100;
 
@@ -97,8 +96,8 @@
         return;
       }
       try {
-        JsonNode root = MAPPER.readTree(response.text());
-        for (JsonNode node : root.path("events")) {
+        JsonNode root = JsonBodies.readObject(response.body());
+        for (JsonNode node : JsonBodies.require(root, "events")) {
           events.add(Json.read(node.toString(), TimelineEvent.class));
         }
         long next = root.path("next").asLong(after);
@@ -106,7 +105,7 @@
           return;
         }
         after = next;
-      } catch (JsonProcessingException | UncheckedIOException e) {
+      } catch (IOException | UncheckedIOException e) {
         reportUnreadable(context, incarnation + " at " + address + ": malformed response");
         return;
       }
--- a/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpHostList.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpHostList.java
@@ -1,8 +1,7 @@
 package org.hibiscusreel.ctl.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,11 +10,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.port.HostList;
+import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /** HTTP client for the host list of the platform. */
 public final class HttpHostList implements HostList {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int OK = 200;
 
   private final HttpSender sender;
@@ -43,9 +42,9 @@
       return Optional.empty();
     }
     try {
-      JsonNode root = MAPPER.readTree(response.text());
+      JsonNode root = JsonBodies.readObject(response.body());
       List<Host> hosts = new ArrayList<>();
-      for (JsonNode node : root.path("hosts")) {
+      for (JsonNode node : JsonBodies.require(root, "hosts")) {
         hosts.add(
             new Host(
                 node.path("host").asText(),
@@ -54,11 +53,11 @@
                 state(node)));
       }
       List<ListedUpstream> upstreams = new ArrayList<>();
-      for (JsonNode node : root.path("upstreams")) {
+      for (JsonNode node : JsonBodies.require(root, "upstreams")) {
         upstreams.add(new ListedUpstream(node.path("name").asText(), state(node)));
       }
       return Optional.of(new Listing(hosts, upstreams));
-    } catch (JsonProcessingException | IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
--- a/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpObjectStore.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpObjectStore.java
@@ -1,8 +1,8 @@
 package org.hibiscusreel.ctl.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.net.URI;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.hibiscusreel.coordination.port.ObjectStore;
+import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /** HTTP client for the object store of the platform. */
 public final class HttpObjectStore implements ObjectStore {
@@ -80,12 +81,12 @@
     try {
       JsonNode root = MAPPER.readTree(response.text());
       List<String> keys = new ArrayList<>();
-      for (JsonNode node : root.isArray() ? root : root.path("keys")) {
+      for (JsonNode node : root.isArray() ? root : JsonBodies.require(root, "keys")) {
         keys.add(node.isTextual() ? node.asText() : node.path("key").asText());
       }
       return new ListResult.Keys(keys);
-    } catch (JsonProcessingException e) {
-      return new ListResult.Failed("malformed response: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      return new ListResult.Failed("malformed response: " + e.getMessage());
     }
   }
 }
--- a/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpTableService.java
+++ b/ctl/src/main/java/org/hibiscusreel/ctl/platform/HttpTableService.java
@@ -1,10 +1,10 @@
 package org.hibiscusreel.ctl.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -16,6 +16,7 @@
 import org.hibiscusreel.coordination.port.Row;
 import org.hibiscusreel.coordination.port.TableService;
 import org.hibiscusreel.coordination.port.WriteResult;
+import org.hibiscusreel.daemon.platform.JsonBodies;
 
 /** HTTP client for the table service of the platform. */
 public final class HttpTableService implements TableService {
@@ -104,17 +105,14 @@
     try {
       if (response.status() == OK) {
         List<Long> versions = new ArrayList<>();
-        MAPPER
-            .readTree(response.text())
-            .path("versions")
-            .forEach(version -> versions.add(version.asLong()));
+        field(response, "versions").forEach(version -> versions.add(version.asLong()));
         return new WriteResult.Committed(versions);
       }
       if (response.status() == CONFLICT) {
-        return new WriteResult.Conflict(rows(MAPPER.readTree(response.text()).path("conflicts")));
+        return new WriteResult.Conflict(rows(field(response, "conflicts")));
       }
-    } catch (JsonProcessingException e) {
-      return new WriteResult.Unknown("malformed response: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      return new WriteResult.Unknown("malformed response: " + e.getMessage());
     }
     return new WriteResult.Unknown(reply.describe());
   }
@@ -124,13 +122,18 @@
       return new ReadResult.Failed(reply.describe());
     }
     try {
-      JsonNode node = MAPPER.readTree(response.text());
-      return new ReadResult.Rows(rows(node.path("rows")), node.path("more").asBoolean());
-    } catch (JsonProcessingException e) {
-      return new ReadResult.Failed("malformed response: " + e.getOriginalMessage());
+      JsonNode node = JsonBodies.readObject(response.body());
+      return new ReadResult.Rows(
+          rows(JsonBodies.require(node, "rows")), node.path("more").asBoolean());
+    } catch (IOException e) {
+      return new ReadResult.Failed("malformed response: " + e.getMessage());
     }
   }
 
+  private static JsonNode field(HttpReply.Response response, String name) throws IOException {
+    return JsonBodies.require(JsonBodies.readObject(response.body()), name);
+  }
+
   private static List<Row> rows(JsonNode nodes) {
     List<Row> rows = new ArrayList<>();
     for (JsonNode node : nodes) {
--- a/ctl/src/test/java/org/hibiscusreel/ctl/platform/HttpSenderTest.java
+++ b/ctl/src/test/java/org/hibiscusreel/ctl/platform/HttpSenderTest.java
@@ -10,7 +10,13 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.hibiscusreel.coordination.port.Mutation;
+import org.hibiscusreel.coordination.port.ObjectStore;
+import org.hibiscusreel.coordination.port.ReadResult;
+import org.hibiscusreel.coordination.port.WriteResult;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -103,4 +109,39 @@
     assertThat(reply.status()).isEqualTo(200);
     assertThat(reply.text()).isEqualTo("{}");
   }
+
+  /** Guards against a response without its body that is taken for one without rows or keys. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[],\"versions\":[],\"keys\":["
+      })
+  void takesNoCutBodyForAnEmptyResult(String text) {
+    response = text;
+    HttpTableService table = new HttpTableService(sender, baseUrl());
+    HttpObjectStore objects = new HttpObjectStore(sender, baseUrl());
+
+    assertThat(table.read(List.of("a")).join()).isInstanceOf(ReadResult.Failed.class);
+    assertThat(table.transact(List.of(Mutation.insert("a", "{}"))).join())
+        .isInstanceOf(WriteResult.Unknown.class);
+    assertThat(objects.list("a").join()).isInstanceOf(ObjectStore.ListResult.Failed.class);
+    assertThat(new HttpHostList(sender, baseUrl()).fetch().join()).isEmpty();
+  }
+
+  @Test
+  void readsEmptyResults() {
+    response =
+        "HTTP/1.1 200 OK\r\n\r\n"
+            + "{\"rows\":[],\"versions\":[1],\"keys\":[],\"hosts\":[],\"upstreams\":[]}";
+    HttpTableService table = new HttpTableService(sender, baseUrl());
+
+    assertThat(table.read(List.of("a")).join()).isInstanceOf(ReadResult.Rows.class);
+    assertThat(table.transact(List.of(Mutation.insert("a", "{}"))).join())
+        .isInstanceOf(WriteResult.Committed.class);
+    assertThat(new HttpObjectStore(sender, baseUrl()).list("a").join())
+        .isInstanceOf(ObjectStore.ListResult.Keys.class);
+    assertThat(new HttpHostList(sender, baseUrl()).fetch().join()).isPresent();
+  }
 }
