--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/MessageFraming.java
@@ -15,7 +15,8 @@
   /**
    * Where the grammars differ.
    *
-   * @param checkedNames names of the fields that {@link #onField} gets, in lower case
+   * @param checkedNames names of the fields that {@link #onField} gets, in lower case, not longer
+   *     than the name of the transfer coding
    * @param skipsEmptyLines whether empty lines may precede a message
    * @param acceptsBareLf whether a LF without a CR ends a start line or a field line
    * @param maxSizeDigits longest chunk size that the HTTP library reads, in digits
@@ -32,6 +33,9 @@
   private static final String LENGTH = "content-length";
   private static final String CODING = "transfer-encoding";
 
+  /** Longest name of a checked field; longer names are not kept. */
+  private static final int MAX_KEPT_NAME = CODING.length();
+
   /** Longest value of a checked field, and longest start line, in bytes. */
   private static final int MAX_KEPT_VALUE = 64 * 1024;
 
@@ -62,10 +66,6 @@
   }
 
   private final Grammar grammar;
-
-  /** Length of the longest name of a checked field; longer names are not kept. */
-  private final int maxKeptName;
-
   private final StringBuilder kept = new StringBuilder();
   private State state = State.BEFORE_MESSAGE;
   private boolean sawCr;
@@ -84,8 +84,6 @@
 
   MessageFraming(Grammar grammar) {
     this.grammar = Objects.requireNonNull(grammar, "grammar");
-    this.maxKeptName =
-        grammar.checkedNames().stream().mapToInt(String::length).reduce(CODING.length(), Math::max);
   }
 
   /** Called before the first byte of a message. */
@@ -262,13 +260,13 @@
   private void readName(int c) {
     countSection();
     if (c == ':' && kept.length() > 0) {
-      String name = kept.length() > maxKeptName ? "" : kept.toString().toLowerCase(Locale.ROOT);
+      String name = kept.length() > MAX_KEPT_NAME ? "" : kept.toString().toLowerCase(Locale.ROOT);
       checkedName = !isTrailer && isChecked(name) ? name : "";
       kept.setLength(0);
       state = State.VALUE;
     } else if (!isTokenCharacter(c)) {
       fail("a field name that is not a token");
-    } else if (kept.length() <= maxKeptName) {
+    } else if (kept.length() <= MAX_KEPT_NAME) {
       kept.append((char) c);
     }
   }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/RequestFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/RequestFraming.java
@@ -17,6 +17,10 @@
   private static final String HOST = "host";
   private static final String UPGRADE = "upgrade";
 
+  /** RFC 9112 has a server ignore empty lines before a request. */
+  private static final Grammar GRAMMAR =
+      new Grammar(Set.of(HOST, UPGRADE), true, false, MAX_SIZE_DIGITS);
+
   /**
    * Why a request is refused.
    *
@@ -30,8 +34,7 @@
   private Fault fault;
 
   RequestFraming() {
-    // RFC 9112 has a server ignore empty lines before a request.
-    super(new Grammar(Set.of(HOST, UPGRADE), true, false, MAX_SIZE_DIGITS));
+    super(GRAMMAR);
   }
 
   /** Returns what is wrong with the first improper request, if there was one. */
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
@@ -13,6 +13,7 @@
 public final class ResponseFraming extends MessageFraming {
 
   private static final int MAX_SIZE_DIGITS = 9;
+  private static final Grammar GRAMMAR = new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS);
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int FIRST_FINAL_STATUS = 200;
@@ -31,7 +32,7 @@
    * @param requestMethod method of the request
    */
   public ResponseFraming(String requestMethod) {
-    super(new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS));
+    super(GRAMMAR);
     this.isHeadRequest = requestMethod.equals("HEAD");
   }
 
