Leave line feeds out of the reference of status lines

The reference of the property takes the whole text for one line, while a LF ends the line and a field may follow it.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/http/ResponseFramingTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/http/ResponseFramingTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Assume;
 import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -56,6 +57,8 @@
 
   @Property(seed = "60", tries = 5_000)
   void readsStatusLinesAsReference(@ForAll("statusLines") String line, @ForAll long seed) {
+    // A LF ends the line, so that what follows it is a field.
+    Assume.that(line.indexOf('\n') < 0);
     boolean isProper = line.matches("(?s)HTTP/1\\.[01] [1-5][0-9][0-9]( [\t -~\u0080-ÿ]*)?");
     assertThat(isValid(line + "\r\nA: b\r\n\r\n", seed)).as(line).isEqualTo(isProper);
   }
