--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ChildProcesses.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ChildProcesses.java
@@ -35,13 +35,28 @@
    * @return the process
    * @throws IOException if it can't be started
    */
-  public synchronized Process start(String name, List<String> command) throws IOException {
-    Process p =
+  public Process start(String name, List<String> command) throws IOException {
+    return start(name, command, Map.of());
+  }
+
+  /**
+   * Starts a process with further environment variables.
+   *
+   * @param name name of the process and its log file
+   * @param command the program and its arguments
+   * @param environment values by the names of the variables
+   * @return the process
+   * @throws IOException if it can't be started
+   */
+  public synchronized Process start(
+      String name, List<String> command, Map<String, String> environment) throws IOException {
+    ProcessBuilder builder =
         new ProcessBuilder(command)
             .redirectErrorStream(true)
             .redirectOutput(
-                ProcessBuilder.Redirect.appendTo(logDirectory.resolve(name + ".log").toFile()))
-            .start();
+                ProcessBuilder.Redirect.appendTo(logDirectory.resolve(name + ".log").toFile()));
+    builder.environment().putAll(environment);
+    Process p = builder.start();
     processesByName.put(name, p);
     return p;
   }
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Fleet.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/Fleet.java
@@ -14,6 +14,7 @@
   private final String root;
   private final ChildProcesses processes;
   private final ProcessTopology topology;
+  private final String javaOptions;
   private final ObservationCollector collector;
 
   /**
@@ -24,9 +25,23 @@
    * @param topology names and addresses
    */
   public Fleet(String root, ChildProcesses processes, ProcessTopology topology) {
+    this(root, processes, topology, "");
+  }
+
+  /**
+   * Creates a fleet whose daemons run with further options.
+   *
+   * @param root root of the built workspace
+   * @param processes set to which the started processes are added
+   * @param topology names and addresses
+   * @param javaOptions options of the daemons' virtual machines, which go before those of the start
+   *     script
+   */
+  Fleet(String root, ChildProcesses processes, ProcessTopology topology, String javaOptions) {
     this.root = root;
     this.processes = processes;
     this.topology = topology;
+    this.javaOptions = javaOptions;
     this.collector = new ObservationCollector(topology);
   }
 
@@ -65,7 +80,10 @@
   /** Starts the daemon of a host. */
   void startDaemon(String host) throws IOException {
     String settings = topology.writeSettings(host).toString();
-    processes.start(host, List.of(root + "/bin/hibiscusreel", "--settings", settings));
+    processes.start(
+        host,
+        List.of(root + "/bin/hibiscusreel", "--settings", settings),
+        javaOptions.isEmpty() ? Map.of() : Map.of("HIBISCUSREEL_JAVA_OPTIONS", javaOptions));
   }
 
   /** Waits until the daemon of a host is ready to serve. */
--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ProcessTopology.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ProcessTopology.java
@@ -22,6 +22,8 @@
   /** All client accounts. */
   public static final List<String> ACCOUNTS = List.of("laboratorio-uno", "laboratorio-dos");
 
+  private static final int MAX_CONNECTIONS = 12_000;
+
   /** Addresses of the caller API of the daemons by host, in order of creation. */
   public final Map<String, String> callerAddresses = new LinkedHashMap<>();
 
@@ -36,6 +38,7 @@
   private final Path directory;
   private final List<String> domains;
   private final int maxConcurrent;
+  private final int maxConnections;
   private final Map<String, String> peerAddresses = new LinkedHashMap<>();
 
   /**
@@ -49,9 +52,26 @@
    */
   public ProcessTopology(Path directory, List<String> domains, int perDomain, int maxConcurrent)
       throws IOException {
+    this(directory, domains, perDomain, maxConcurrent, MAX_CONNECTIONS);
+  }
+
+  /**
+   * Creates a topology whose daemons accept few connections.
+   *
+   * @param directory directory of the settings and configuration files
+   * @param domains names of the failure domains, with one plain service each
+   * @param perDomain number of daemons and of engines in each failure domain
+   * @param maxConcurrent limit of concurrent requests from one daemon to one upstream
+   * @param maxConnections limit of connections of callers to one daemon
+   * @throws IOException if no free port is found or the loopback address can't be bound
+   */
+  ProcessTopology(
+      Path directory, List<String> domains, int perDomain, int maxConcurrent, int maxConnections)
+      throws IOException {
     this.directory = directory;
     this.domains = domains;
     this.maxConcurrent = maxConcurrent;
+    this.maxConnections = maxConnections;
     List<String> free = findFreeAddresses(1 + domains.size() * (1 + 4 * perDomain));
     this.platformAddress = free.remove(0);
     for (String domain : domains) {
@@ -121,7 +141,7 @@
         [limits]
         max_body_bytes = 1048576
         max_buffered_bills = 20000
-        max_connections = 12000
+        max_connections = %d
         drain_timeout_ms = 15000
         [log]
         level = "INFO"
@@ -136,7 +156,8 @@
                 platformAddress,
                 platformAddress,
                 platformAddress,
-                seeds);
+                seeds,
+                maxConnections);
     return Files.writeString(directory.resolve(host + ".toml"), text);
   }
 
