Send large bodies in pieces instead of copying them whole

Clients with bodies of 4 MiB at once ended the daemon for want of memory, and the requests of all others with it.

The HTTP library copies a body that it gets whole into the buffer of the head, of the next power of two, so that a body of 4 MiB took another 8 on its way to the upstream, and a response the same on its way back; the pool keeps such buffers. The account of bodies counts neither.

Bodies beyond 64 KiB, of requests and responses, are now sent in pieces that refer to the array that is counted, with their length.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -2,6 +2,7 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.AbstractChannelSupplier;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
@@ -12,6 +13,7 @@
 import org.hibiscusreel.coordination.forward.Forwarder;
 import org.hibiscusreel.coordination.forward.HeaderField;
 import org.hibiscusreel.coordination.forward.Refusal;
+import org.hibiscusreel.daemon.http.BodyPieces;
 import org.hibiscusreel.daemon.http.CallerConnections;
 
 /**
@@ -98,7 +100,14 @@
   @Override
   public void respond(int status, List<HeaderField> fields, byte[] body) {
     markEnded();
-    response.trySet(newResponse(status, fields).withBody(body).build());
+    HttpResponse.Builder builder = newResponse(status, fields);
+    if (BodyPieces.isLarge(body) && !isHeadRequest) {
+      builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
+      builder.withBodyStream(BodyPieces.of(body));
+    } else {
+      builder.withBody(body);
+    }
+    response.trySet(builder.build());
   }
 
   @Override
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -1,6 +1,5 @@
 package org.hibiscusreel.daemon.http;
 
-import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufs;
 import io.activej.common.MemSize;
 import io.activej.csp.supplier.ChannelSupplier;
@@ -246,8 +245,11 @@
       HttpMethod method, String url, List<Map.Entry<HttpHeader, String>> headers, byte[] body) {
     HttpRequest.Builder builder = HttpRequest.builder(method, url);
     headers.forEach(h -> builder.withHeader(h.getKey(), h.getValue()));
-    if (body != null) {
-      builder.withBody(ByteBuf.wrapForReading(body));
+    if (body != null && BodyPieces.isLarge(body)) {
+      builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
+      builder.withBodyStream(BodyPieces.of(body));
+    } else if (body != null) {
+      builder.withBody(body);
     }
     HttpRequest request = builder.build();
     ConnectionTracker.State state = tracker.track(request);
--- /dev/null
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/http/BodyPiecesTest.java
@@ -0,0 +1,35 @@
+package org.hibiscusreel.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.promise.Promise;
+import java.io.ByteArrayOutputStream;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class BodyPiecesTest {
+
+  /** Guards against a large body that loses bytes between its pieces, or is sent as one. */
+  @ParameterizedTest
+  @ValueSource(ints = {65_537, 131_072, 131_073, 4_194_304})
+  void dividesLargeBodiesWithoutLoss(int size) throws Exception {
+    byte[] body = new byte[size];
+    new Random(size).nextBytes(body);
+    assertThat(BodyPieces.isLarge(body)).isTrue();
+    var pieces = BodyPieces.of(body);
+    ByteArrayOutputStream sent = new ByteArrayOutputStream();
+    for (Promise<ByteBuf> p = pieces.get(); p.getResult() != null; p = pieces.get()) {
+      assertThat(p.getResult().readRemaining()).isBetween(1, BodyPieces.PIECE_BYTES);
+      sent.write(p.getResult().asArray());
+    }
+    assertThat(sent.toByteArray()).isEqualTo(body);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 65_536})
+  void leavesSmallBodiesWhole(int size) {
+    assertThat(BodyPieces.isLarge(new byte[size])).isFalse();
+  }
+}
