Bound what unfinished requests of all clients take together

What a connection keeps of an unfinished message had a bound of its own (256 KiB of a head, and the read buffer of 16 KiB, which stays with the request until its response) but none over all connections. The ports for readiness and metrics had no limit, the relay's none in bytes.

ConnectionRegister accounts the heads of all requests in progress (an eighth of the heap) and the connections (from max_fds and the heap), and closes those of clients that keep a request unfinished before anybody is refused; requests that wait for responses are never cut. Heads beyond 32 KiB get 431. An eighth of the memory of bodies is left for small ones. The same at the callers' ports of both interfaces, readiness, metrics and relay. The library's limit of a line is raised, since it applied only where a read ended inside the line.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
@@ -1,8 +1,10 @@
 package org.hibiscusreel.daemon.caller;
 
+import io.activej.common.MemSize;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
 import io.activej.reactor.net.ServerSocketSettings;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +16,9 @@
 import org.hibiscusreel.coordination.config.ConfigurationView;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.coordination.request.RequestService;
+import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.CallerConnections;
+import org.hibiscusreel.daemon.http.ConnectionRegister;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
 
@@ -29,6 +33,15 @@
 
   private static final int BACKLOG = 4096;
 
+  /** A request in progress keeps the buffer in which it was read. */
+  private static final SocketSettings SMALL_BUFFERS =
+      SocketSettings.builder()
+          .withImplReadBufferSize(MemSize.of(ConnectionRegister.READ_BUFFER_BYTES))
+          .build();
+
+  /** Memory of all bodies that is left for small ones, as a part of the whole. */
+  private static final int SMALL_BODY_DIVISOR = 8;
+
   private final HttpServer server;
   private final CallerConnections connections;
   private final boolean isTls;
@@ -62,8 +75,12 @@
       ConfigurationView configuration,
       DaemonMetrics metrics) {
     Objects.requireNonNull(requests, "requests");
-    this.connections = new CallerConnections(scheduler, reactor, ProblemDocuments::refuse);
+    this.connections =
+        new CallerConnections(
+            scheduler, reactor, settings.limits().toConnectionLimits(), ProblemDocuments::refuse);
     this.isTls = tls.isPresent();
+    long bodyMemory = settings.limits().bodyMemoryBytes();
+    BodyMemory bodies = new BodyMemory(bodyMemory, bodyMemory, bodyMemory / SMALL_BODY_DIVISOR);
     CallerServlet servlet =
         new CallerServlet(
             requests,
@@ -71,8 +88,8 @@
             metrics,
             scheduler,
             connections,
-            settings.limits().maxBodyBytes());
-    int maxConnections = settings.limits().maxConnections();
+            settings.limits().maxBodyBytes(),
+            bodies);
     HttpServer.Builder builder =
         HttpServer.builder(reactor, servlet.toServlet(reactor))
             .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
@@ -83,7 +100,8 @@
             .withSocketInspector(connections.socketInspector(false))
             .withSocketSslInspector(connections.socketInspector(true))
             .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
-            .withAcceptFilter((c, local, remote, ssl) -> connections.count() >= maxConnections);
+            .withSocketSettings(SMALL_BUFFERS)
+            .withAcceptFilter((c, local, remote, ssl) -> !connections.admit());
     InetSocketAddress address = settings.listen().callers();
     if (tls.isPresent()) {
       builder.withSslListenAddress(tls.get().context(), tls.get().executor(), address);
@@ -92,6 +110,9 @@
     }
     this.server = builder.build();
     metrics.register("connections", connections::count);
+    metrics.register("body_bytes", bodies::usedBytes);
+    metrics.register("connections_closed_by_limits", connections::closedByLimits);
+    metrics.register("head_bytes", connections::headBytes);
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServlet.java
@@ -45,12 +45,7 @@
   private static final HttpHeader REQUEST_CLASS = HttpHeaders.register("X-Class");
   private static final HttpHeader DEADLINE = HttpHeaders.register("X-Deadline-Ms");
 
-  /**
-   * Limit on the memory of all bodies that are being read. Without it, a few hundred callers that
-   * send large bodies slowly would fill the heap.
-   */
-  private static final long MAX_BODY_MEMORY_BYTES = 64L * 1024 * 1024;
-
+  private static final long RETRY_AFTER_MILLIS = 1_000;
   private static final String BEARER_PREFIX = "Bearer ";
 
   /**
@@ -68,8 +63,7 @@
   private final Scheduler scheduler;
   private final CallerConnections connections;
   private final int maxBodyBytes;
-  private final BodyMemory bodyMemory =
-      new BodyMemory(MAX_BODY_MEMORY_BYTES, MAX_BODY_MEMORY_BYTES);
+  private final BodyMemory bodyMemory;
 
   CallerServlet(
       RequestService requests,
@@ -77,7 +71,8 @@
       DaemonMetrics metrics,
       Scheduler scheduler,
       CallerConnections connections,
-      int maxBodyBytes) {
+      int maxBodyBytes,
+      BodyMemory bodyMemory) {
     this.requests = requests;
     this.configuration = configuration;
     this.keys = new ClientKeys(configuration);
@@ -85,6 +80,7 @@
     this.scheduler = scheduler;
     this.connections = connections;
     this.maxBodyBytes = maxBodyBytes;
+    this.bodyMemory = bodyMemory;
   }
 
   /** Configuration, client account and headers of a request whose body is not read yet. */
@@ -130,6 +126,10 @@
     String requestId = "";
     try {
       requestId = readRequestId(request);
+      if (!connections.hasHeadMemory()) {
+        throw new ProblemException(
+            ProblemCode.OVERLOADED, "too many requests are in progress", RETRY_AFTER_MILLIS);
+      }
       context = readContext(request, requestId);
     } catch (ProblemException e) {
       HttpResponse refusal = refuse(e.problem(), requestId);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.daemon.forward;
 
+import com.codahale.metrics.Gauge;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -30,6 +31,7 @@
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.daemon.http.AsyncHttpClient;
 import org.hibiscusreel.daemon.http.BodyMemory;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
 import org.hibiscusreel.daemon.http.ConnectionProbe;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
@@ -62,9 +64,6 @@
 
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
 
-  /** The bodies of requests may take the heap divided by this. */
-  private static final int BODY_HEAP_DIVISOR = 4;
-
   /**
    * Lag behind the configuration of other daemons up to which a daemon is ready, as a fraction of
    * the bound for a configuration to be in force.
@@ -83,6 +82,7 @@
    * @param graceMillis time from the stop request until the process is killed, in milliseconds
    * @param linkBytesPerSecond capacity of each direction of the host's link in bytes per second
    * @param storeWritesPerSecond write rate that the store accepts from all daemons together
+   * @param intake what the clients may take of the descriptors and the memory
    * @param forward settings of the forwarder
    */
   public record Settings(
@@ -95,6 +95,7 @@
       long graceMillis,
       double linkBytesPerSecond,
       double storeWritesPerSecond,
+      IntakeLimits intake,
       ForwardSettings forward) {}
 
   /**
@@ -231,6 +232,7 @@
             scheduler,
             settings.peers(),
             CONNECT_TIMEOUT,
+            settings.intake().relays(),
             new RelayAdmission(
                     scheduler::nowMillis,
                     fleet.upstreams(),
@@ -242,7 +244,7 @@
             ports.upstreamDialect(),
             traffic,
             decisions);
-    final BodyMemory bodies = newBodyMemory(Runtime.getRuntime().maxMemory());
+    final BodyMemory bodies = newBodyMemory(settings.intake());
     this.server =
         new ForwardServer(
             reactor,
@@ -251,16 +253,24 @@
             forwarder,
             ports.callerDialect(),
             this::isReady,
+            settings.intake().callers(),
             traffic,
             decisions,
             bodies);
-    this.status = new StatusServer(reactor, settings.status(), this::isReady, decisions::toText);
-    this.metrics = new StatusServer(reactor, settings.metrics(), this::isReady, decisions::toText);
+    this.status = newStatusServer(reactor, settings.status());
+    this.metrics = newStatusServer(reactor, settings.metrics());
     decisions.register("requests.in_progress", forwarder::inProgress);
     decisions.register("requests.served", forwarder::served);
     decisions.register("requests.refused", forwarder::refused);
     decisions.register("callers.body_bytes", bodies::usedBytes);
+    decisions.register("callers.body_bytes_limit", settings.intake()::bodyMemoryBytes);
     decisions.register("callers.connections", server::connectionCount);
+    registerLimits("callers", settings.intake().callers(), server::closedByLimits);
+    decisions.register("callers.head_bytes", server::headBytes);
+    registerLimits("status", settings.intake().status(), status::closedByLimits);
+    registerLimits("metrics", settings.intake().status(), metrics::closedByLimits);
+    registerLimits("relay", settings.intake().relays(), relay::closedByLimits);
+    decisions.register("relay.head_bytes", relay::headBytes);
     decisions.register("configuration.version", this::configurationVersion);
     decisions.register("configuration.lag_ms", fleet::configurationLagMillis);
     decisions.register("configuration.age_ms", fleet::configurationAgeMillis);
@@ -273,10 +283,23 @@
     decisions.register("log.dropped", log::dropped);
   }
 
-  /** Leaves most of the heap to copies of the bodies that are being sent, and to all else. */
-  private static BodyMemory newBodyMemory(long heapBytes) {
-    long limit = Math.max(ForwardServer.MAX_BODY_BYTES, heapBytes / BODY_HEAP_DIVISOR);
-    return new BodyMemory(limit, Math.max(ForwardServer.MAX_BODY_BYTES, limit / 2));
+  private StatusServer newStatusServer(NioReactor reactor, InetSocketAddress address) {
+    return new StatusServer(
+        reactor, scheduler, address, settings.intake().status(), this::isReady, decisions::toText);
+  }
+
+  private void registerLimits(String port, ConnectionLimits limits, Gauge<Long> closed) {
+    decisions.register(port + ".max_connections", limits::maxConnections);
+    decisions.register(port + ".max_head_bytes", limits::maxHeadBytes);
+    decisions.register(port + ".head_bytes_limit", limits::headMemoryBytes);
+    decisions.register(port + ".closed_by_limits", closed);
+  }
+
+  /** Leaves room for others beside one sender, and for small bodies beside large ones. */
+  private static BodyMemory newBodyMemory(IntakeLimits limits) {
+    long limit = limits.bodyMemoryBytes();
+    return new BodyMemory(
+        limit, Math.max(ForwardServer.MAX_BODY_BYTES, limit / 2), limits.smallBodyMemoryBytes());
   }
 
   private static String formatAddress(InetSocketAddress address) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardProcess.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardProcess.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
+import org.hibiscusreel.daemon.http.HttpLibrary;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.MonotonicTimeProvider;
 import org.hibiscusreel.daemon.main.HangUpSignal;
@@ -43,6 +44,7 @@
       String host,
       Function<String, ForwardDaemon.Settings> settings,
       Function<NioReactor, ForwardDaemon.Dependencies> ports) {
+    HttpLibrary.configure();
     String incarnation = Incarnations.create(host, System.currentTimeMillis());
     LogSetup.apply(DaemonSettings.Level.INFO, incarnation);
     Logger log = System.getLogger(ForwardProcess.class.getName());
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.daemon.forward;
 
+import io.activej.common.MemSize;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -8,6 +9,7 @@
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
 import io.activej.reactor.net.ServerSocketSettings;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,6 +26,8 @@
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.daemon.http.BodyMemory;
 import org.hibiscusreel.daemon.http.CallerConnections;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
+import org.hibiscusreel.daemon.http.ConnectionRegister;
 import org.hibiscusreel.daemon.http.RequestFraming;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
@@ -47,12 +51,22 @@
   /** Shortest delay of a task in milliseconds that is not due at once. */
   private static final long READ_DELAY_MILLIS = 1;
 
-  /** Retry advice in milliseconds for a request whose body finds no memory. */
-  private static final long BODY_RETRY_AFTER_MILLIS = 300;
+  /** Retry advice in milliseconds for a request that finds no memory. */
+  private static final long MEMORY_RETRY_AFTER_MILLIS = 300;
 
   private static final Refusal CLOSING =
       new Refusal(Refusal.Kind.NOT_RUN, 0, "the connection is being closed");
 
+  private static final Refusal TOO_MANY_HEADS =
+      new Refusal(
+          Refusal.Kind.NOT_RUN, MEMORY_RETRY_AFTER_MILLIS, "too many requests are in progress");
+
+  /** A request in progress keeps the buffer in which it was read. */
+  private static final SocketSettings SMALL_BUFFERS =
+      SocketSettings.builder()
+          .withImplReadBufferSize(MemSize.of(ConnectionRegister.READ_BUFFER_BYTES))
+          .build();
+
   private final Scheduler scheduler;
   private final Forwarder forwarder;
   private final CallerDialect dialect;
@@ -73,6 +87,7 @@
    * @param dialect message format of the callers
    * @param isReady tells whether callers may keep their connections; otherwise responses ask them
    *     to connect again, to another daemon
+   * @param limits what the connections may take in total
    * @param traffic receives the number of bytes exchanged with callers
    * @param decisions records the requests that are refused because of their framing or size
    * @param bodies limits the memory of the requests' bodies
@@ -85,6 +100,7 @@
       Forwarder forwarder,
       CallerDialect dialect,
       BooleanSupplier isReady,
+      ConnectionLimits limits,
       TrafficListener traffic,
       DecisionLog decisions,
       BodyMemory bodies) {
@@ -96,7 +112,7 @@
     this.bodies = Objects.requireNonNull(bodies, "bodies");
     this.connections =
         new CallerConnections(
-            scheduler, reactor, traffic, this::pipelinedRefusal, this::refuseFraming);
+            scheduler, reactor, limits, traffic, this::pipelinedRefusal, this::refuseFraming);
     AsyncServlet servlet = this::serve;
     this.server =
         HttpServer.builder(reactor, servlet)
@@ -106,6 +122,8 @@
             .withInspector(connections.serverInspector())
             .withSocketInspector(connections.socketInspector(false))
             .withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
+            .withSocketSettings(SMALL_BUFFERS)
+            .withAcceptFilter((c, local, remote, ssl) -> !connections.admit())
             .withListenAddress(address)
             .build();
   }
@@ -145,6 +163,24 @@
     return connections.count();
   }
 
+  /**
+   * Returns the memory of the heads of all requests in progress.
+   *
+   * @return bytes, 0 or more
+   */
+  public long headBytes() {
+    return connections.headBytes();
+  }
+
+  /**
+   * Returns the number of connections that were closed, or not accepted, because of the limits.
+   *
+   * @return 0 or more
+   */
+  public long closedByLimits() {
+    return connections.closedByLimits();
+  }
+
   /**
    * Returns the number of responses that are being sent. A response may be on its way long after
    * its request was served, since callers read at their own speed.
@@ -169,10 +205,17 @@
       answer.refuse(CLOSING);
       return answer.response();
     }
+    if (!connections.hasHeadMemory()) {
+      decisions.record("refused_head", Map.of("head_bytes", connections.headBytes()));
+      connection.closeAfterDelay();
+      answer.refuse(TOO_MANY_HEADS);
+      return answer.response();
+    }
     return RequestBodyReader.read(request, memory, MAX_BODY_BYTES)
         .then(
             body -> {
               if (body.isEmpty()) {
+                connections.closeStalledBodies();
                 refuseBody(request, answer);
                 return answer.response();
               }
@@ -197,7 +240,7 @@
     decisions.record("refused_body", fields);
     answer.refuse(
         new Refusal(
-            Refusal.Kind.NOT_RUN, BODY_RETRY_AFTER_MILLIS, "too many bodies are in progress"));
+            Refusal.Kind.NOT_RUN, MEMORY_RETRY_AFTER_MILLIS, "too many bodies are in progress"));
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/MessageHead.java
@@ -47,6 +47,11 @@
     return State.COMPLETE;
   }
 
+  /** Returns the number of bytes so far. */
+  int size() {
+    return bytes.size();
+  }
+
   /** Returns the bytes after the head. */
   byte[] rest() {
     byte[] all = bytes.toByteArray();
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayServer.java
@@ -8,11 +8,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
+import java.util.Optional;
 import java.util.function.Function;
 import org.hibiscusreel.coordination.forward.DecisionLog;
 import org.hibiscusreel.coordination.forward.UpstreamPaths;
@@ -20,6 +18,8 @@
 import org.hibiscusreel.core.config.SocketAddresses;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
+import org.hibiscusreel.daemon.http.ConnectionRegister;
 import org.hibiscusreel.daemon.http.TrafficListener;
 
 /**
@@ -28,11 +28,6 @@
  */
 final class RelayServer {
 
-  /**
-   * Largest number of connections. Each holds at most two buffers while its receiver does not read.
-   */
-  static final int MAX_CONNECTIONS = 256;
-
   /**
    * Settings of the sockets to daemons. Without a linger time, a connection that is closed by this
    * process, or by its death, is reset, so that a part of a response is never taken for all of it.
@@ -79,7 +74,9 @@
   private final TrafficListener traffic;
   private final DecisionLog log;
   private final SimpleServer server;
-  private final Set<RelayedConnection> connections = new HashSet<>();
+  private final ConnectionLimits limits;
+  private final ConnectionRegister<RelayedConnection> connections;
+  private long closedByLimits;
   private boolean stopping;
 
   /**
@@ -89,6 +86,8 @@
    * @param scheduler time and delayed tasks of the same event loop
    * @param address address to bind
    * @param connectTimeout time to connect to an upstream
+   * @param limits what the connections from daemons may take in total; as many again as those on
+   *     which a request is passed on may wait for a head, or for the end of a refusal
    * @param admission decides which requests are passed on
    * @param paths learns which connections to upstreams were opened
    * @param notices learns what the passing responses say of their upstreams
@@ -101,6 +100,7 @@
       Scheduler scheduler,
       InetSocketAddress address,
       Duration connectTimeout,
+      ConnectionLimits limits,
       Function<RelayTicket, RelayAdmission.Decision> admission,
       UpstreamPaths paths,
       NoticeListener notices,
@@ -110,6 +110,11 @@
     this.reactor = Objects.requireNonNull(reactor, "reactor");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.connectTimeout = Objects.requireNonNull(connectTimeout, "connectTimeout");
+    this.limits = Objects.requireNonNull(limits, "limits");
+    this.connections =
+        new ConnectionRegister<>(
+            new ConnectionLimits(
+                2 * limits.maxConnections(), limits.maxHeadBytes(), limits.headMemoryBytes()));
     this.admission = Objects.requireNonNull(admission, "admission");
     this.paths = Objects.requireNonNull(paths, "paths");
     this.notices = Objects.requireNonNull(notices, "notices");
@@ -141,30 +146,62 @@
   void stop() {
     stopping = true;
     server.close();
-    List.copyOf(connections).forEach(RelayedConnection::reset);
+    connections.all().forEach(RelayedConnection::reset);
   }
 
   /** Returns the number of open connections from other daemons. */
   int connectionCount() {
-    return connections.size();
+    return connections.count();
+  }
+
+  /** Returns the memory in bytes of the heads of all requests in progress. */
+  long headBytes() {
+    return connections.headBytes();
+  }
+
+  /** Returns the number of connections that were closed, or not accepted, because of the limits. */
+  long closedByLimits() {
+    return closedByLimits;
+  }
+
+  int maxHeadBytes() {
+    return limits.maxHeadBytes();
   }
 
   private void accept(TcpSocket socket) {
-    if (connections.size() >= 2 * MAX_CONNECTIONS) {
+    if (connections.isFull()) {
       // Too many to read the heads of all of them and to refuse each one.
-      socket.close();
-      return;
+      closedByLimits++;
+      Optional<RelayedConnection> replaceable = connections.takeReplaceable(scheduler.nowMillis());
+      if (replaceable.isEmpty()) {
+        socket.close();
+        return;
+      }
+      replaceable.get().reset();
     }
     RelayedConnection connection = new RelayedConnection(this, socket);
-    connections.add(connection);
+    connections.add(connection, scheduler.nowMillis());
     connection.start();
   }
 
+  /** Records how much of a head has arrived, and closes connections if all take too much. */
+  void onHeadBytes(RelayedConnection connection, int bytes) {
+    connections.update(connection, ConnectionRegister.Phase.HEAD, bytes, scheduler.nowMillis());
+    for (RelayedConnection c : connections.findExcess()) {
+      closedByLimits++;
+      c.reset();
+    }
+  }
+
+  void onHeadRead(RelayedConnection connection) {
+    connections.update(connection, ConnectionRegister.Phase.RESPONSE, 0, scheduler.nowMillis());
+  }
+
   RelayAdmission.Decision decide(RelayTicket ticket) {
     RelayAdmission.Decision decision;
     if (stopping) {
       decision = new RelayAdmission.Decision.Refused(RelayRefusal.STOPPING);
-    } else if (connections.size() > MAX_CONNECTIONS) {
+    } else if (connections.count(ConnectionRegister.Phase.RESPONSE) > limits.maxConnections()) {
       decision = new RelayAdmission.Decision.Refused(RelayRefusal.BUSY);
     } else {
       decision = admission.apply(ticket);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RelayedConnection.java
@@ -34,7 +34,7 @@
 
   private final RelayServer server;
   private final TcpSocket origin;
-  private MessageHead requestHead = new MessageHead(MAX_HEAD_BYTES);
+  private MessageHead requestHead;
   private MessageHead responseHead = new MessageHead(MAX_HEAD_BYTES);
   private ResponseFraming responseFraming;
   private UpstreamEntry entry;
@@ -47,6 +47,7 @@
   RelayedConnection(RelayServer server, TcpSocket origin) {
     this.server = server;
     this.origin = origin;
+    this.requestHead = new MessageHead(server.maxHeadBytes());
   }
 
   void start() {
@@ -70,7 +71,10 @@
                   requestHead.add(buf.array(), buf.head(), buf.readRemaining());
               buf.recycle();
               switch (state) {
-                case INCOMPLETE -> readHead();
+                case INCOMPLETE -> {
+                  server.onHeadBytes(this, requestHead.size());
+                  readHead();
+                }
                 case TOO_LARGE -> reset();
                 default -> onRequestHead();
               }
@@ -79,6 +83,7 @@
 
   private void onRequestHead() {
     timer.cancel();
+    server.onHeadRead(this);
     RelayTicket ticket =
         requestHead.find(RelayTicket.REQUEST_FIELD).flatMap(RelayTicket::parse).orElse(null);
     if (ticket == null) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyMemory.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyMemory.java
@@ -6,12 +6,17 @@
 
 /**
  * Limits the memory that the bodies of requests take, of all senders together and of each one, so
- * that a sender of many large bodies leaves room for others. Used only on the event loop.
+ * that a sender of many large bodies leaves room for others. A part is left for small bodies, which
+ * many large ones of several senders can't take. Used only on the event loop.
  */
 public final class BodyMemory {
 
+  /** Largest size in bytes of a small body. */
+  static final int SMALL_BODY_BYTES = 64 * 1024;
+
   private final long limitBytes;
   private final long senderLimitBytes;
+  private final long smallBytes;
   private final Map<String, Long> bytesBySender = new HashMap<>();
   private long usedBytes;
 
@@ -20,12 +25,14 @@
    *
    * @param limitBytes limit for all senders together, in bytes
    * @param senderLimitBytes limit for one sender, in bytes
+   * @param smallBytes part of the limit for all that only small bodies may use, in bytes
    * @throws IllegalArgumentException if a limit is negative
    */
-  public BodyMemory(long limitBytes, long senderLimitBytes) {
-    if (limitBytes < 0 || senderLimitBytes < 0) {
+  public BodyMemory(long limitBytes, long senderLimitBytes, long smallBytes) {
+    if (limitBytes < 0 || senderLimitBytes < 0 || smallBytes < 0) {
       throw new IllegalArgumentException("a negative limit of bytes");
     }
+    this.smallBytes = smallBytes;
     this.limitBytes = limitBytes;
     this.senderLimitBytes = senderLimitBytes;
   }
@@ -68,7 +75,8 @@
      */
     public boolean hasRoom(long count) {
       long ofSender = bytesBySender.getOrDefault(sender, 0L);
-      return usedBytes + count <= limitBytes && ofSender + count <= senderLimitBytes;
+      long limit = bytes + count <= SMALL_BODY_BYTES ? limitBytes : limitBytes - smallBytes;
+      return usedBytes + count <= limit && ofSender + count <= senderLimitBytes;
     }
 
     /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -15,15 +15,17 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
 
 /**
- * Tracks the connections of callers: closes those that send a request too slowly or don't read
- * their response, and detects callers that disconnect. ActiveJ's own read and write timeout can't
- * be used, because it also aborts responses that are streamed for longer than the timeout.
+ * Tracks the connections of callers: closes those that send a request too slowly, don't read their
+ * response or take the place of others, and detects callers that disconnect. ActiveJ's own read and
+ * write timeout can't be used, because it also aborts responses that are streamed for longer than
+ * the timeout.
  */
 public final class CallerConnections {
 
@@ -44,6 +46,8 @@
   private final Scheduler scheduler;
   private final CurrentTimeProvider loopTime;
   private final TrafficListener traffic;
+  private final ConnectionLimits limits;
+  private final ConnectionRegister<TrackedConnection> register;
   private final Supplier<byte[]> pipelinedRefusal;
   private final Function<RequestFraming.Fault, byte[]> framingRefusal;
   private final IdentityHashMap<HttpServerConnection, TrackedConnection> entries =
@@ -53,6 +57,7 @@
   private Cancellable timer;
   private TcpSocket lastOpenedSocket;
   private boolean isLastOpenedTls;
+  private long closedByLimits;
 
   /**
    * Creates a tracker without connections.
@@ -60,14 +65,16 @@
    * @param scheduler time and delayed tasks of the event loop
    * @param loopTime time of the event loop, from which ActiveJ takes the timestamps of its
    *     connections
+   * @param limits what the connections may take in total
    * @param framingRefusal returns the bytes of the response to a request whose framing is improper
    * @throws NullPointerException if an argument is null
    */
   public CallerConnections(
       Scheduler scheduler,
       CurrentTimeProvider loopTime,
+      ConnectionLimits limits,
       Function<RequestFraming.Fault, byte[]> framingRefusal) {
-    this(scheduler, loopTime, TrafficListener.NONE, () -> new byte[0], framingRefusal);
+    this(scheduler, loopTime, limits, TrafficListener.NONE, () -> new byte[0], framingRefusal);
   }
 
   /**
@@ -76,6 +83,7 @@
    * @param scheduler time and delayed tasks of the event loop
    * @param loopTime time of the event loop, from which ActiveJ takes the timestamps of its
    *     connections
+   * @param limits what the connections may take in total
    * @param traffic receives the number of bytes sent and received
    * @param pipelinedRefusal supplies the bytes of a response for a request that arrived before the
    *     previous response was sent and is not served; empty to close the connection without one
@@ -85,11 +93,14 @@
   public CallerConnections(
       Scheduler scheduler,
       CurrentTimeProvider loopTime,
+      ConnectionLimits limits,
       TrafficListener traffic,
       Supplier<byte[]> pipelinedRefusal,
       Function<RequestFraming.Fault, byte[]> framingRefusal) {
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
     this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
+    this.limits = Objects.requireNonNull(limits, "limits");
+    this.register = new ConnectionRegister<>(limits);
     this.traffic = Objects.requireNonNull(traffic, "traffic");
     this.pipelinedRefusal = Objects.requireNonNull(pipelinedRefusal, "pipelinedRefusal");
     this.framingRefusal = Objects.requireNonNull(framingRefusal, "framingRefusal");
@@ -100,15 +111,15 @@
 
     private final TcpSocket socket;
     private final boolean isTls;
-    private final RequestFraming framing = new RequestFraming();
+    private final RequestFraming framing = new RequestFraming(limits.maxHeadBytes());
     private final long openedAt = scheduler.nowMillis();
     private long respondingSince;
     private boolean isResponding;
     private boolean isStreamed;
     private boolean hasPipelined;
-    private boolean hasReceivedRequest;
     private boolean isClosing;
     private boolean isFaultRefused;
+    private long requests;
     private long responses;
     private Runnable disconnectTask;
 
@@ -202,6 +213,25 @@
       closeAfterDelay();
     }
 
+    /** Tells what the connection is waiting for; the framing of TLS is not read. */
+    private ConnectionRegister.Phase phase() {
+      if (!isTls && framing.isInHead()) {
+        return ConnectionRegister.Phase.HEAD;
+      }
+      long begun = isTls ? requests : framing.completed();
+      if (begun > responses) {
+        return ConnectionRegister.Phase.RESPONSE;
+      }
+      if (!isTls && !framing.isBetweenMessages()) {
+        return ConnectionRegister.Phase.BODY;
+      }
+      return responses == 0 ? ConnectionRegister.Phase.HEAD : ConnectionRegister.Phase.IDLE;
+    }
+
+    private void updatePhase() {
+      register.update(this, phase(), framing.headBytes(), scheduler.nowMillis());
+    }
+
     /** Withholds the bytes of an improper request, and all after it, from the HTTP library. */
     private void checkFraming(ByteBuf buf) {
       if (framing.fault().isPresent()) {
@@ -209,6 +239,7 @@
         return;
       }
       buf.tail(framing.read(buf.array(), buf.head(), buf.tail()));
+      updatePhase();
       if (framing.fault().isPresent()) {
         // The proper requests before it are read first.
         scheduler.schedule(0, this::refuseFault);
@@ -256,7 +287,7 @@
       }
       PoolLabel pool = connection.getCurrentPool();
       if (pool == PoolLabel.NEW) {
-        return !hasReceivedRequest && now - openedAt > FIRST_BYTE_TIMEOUT_MILLIS;
+        return requests == 0 && now - openedAt > FIRST_BYTE_TIMEOUT_MILLIS;
       }
       if (pool == PoolLabel.READ_WRITE && disconnectTask == null) {
         long since = connection.getPoolTimestamp().toMillis();
@@ -295,6 +326,64 @@
     return (int) entries.values().stream().filter(e -> e.isResponding || e.isStreamed).count();
   }
 
+  /**
+   * Returns the memory of the heads of all requests in progress.
+   *
+   * @return bytes, 0 or more
+   */
+  public long headBytes() {
+    return register.headBytes();
+  }
+
+  /**
+   * Returns the number of connections that were closed, or not accepted, because of the limits.
+   *
+   * @return 0 or more
+   */
+  public long closedByLimits() {
+    return closedByLimits;
+  }
+
+  /**
+   * Makes room for a new connection, if need be by closing another one.
+   *
+   * @return false if the new connection must not be accepted
+   */
+  public boolean admit() {
+    if (!register.isFull()) {
+      return true;
+    }
+    closedByLimits++;
+    Optional<TrackedConnection> replaceable = register.takeReplaceable(scheduler.nowMillis());
+    replaceable.ifPresent(TrackedConnection::close);
+    return replaceable.isPresent();
+  }
+
+  private void closeExcess() {
+    for (TrackedConnection c : register.findExcess()) {
+      closedByLimits++;
+      c.close();
+    }
+  }
+
+  /**
+   * Tells whether the heads of all requests are within their memory, so that a further request may
+   * be served.
+   *
+   * @return false if the requests in progress take too much
+   */
+  public boolean hasHeadMemory() {
+    return register.hasHeadMemory();
+  }
+
+  /** Closes the connections whose clients have stalled in a body, so that others find memory. */
+  public void closeStalledBodies() {
+    for (TrackedConnection c : register.findStalledBodies(scheduler.nowMillis())) {
+      closedByLimits++;
+      c.close();
+    }
+  }
+
   /** Starts the periodic check for callers that are too slow. */
   public void start() {
     timer = scheduler.schedule(CHECK_INTERVAL_MILLIS, this::closeExpired);
@@ -347,11 +436,14 @@
       TrackedConnection e = new TrackedConnection(lastOpenedSocket, isLastOpenedTls);
       entries.put(connection, e);
       entriesBySocket.put(lastOpenedSocket, e);
+      register.add(e, scheduler.nowMillis());
     }
 
     @Override
     public void onHttpRequest(HttpRequest request) {
-      connectionOf(request).hasReceivedRequest = true;
+      TrackedConnection e = connectionOf(request);
+      e.requests++;
+      e.updatePhase();
     }
 
     @Override
@@ -371,6 +463,7 @@
       e.isStreamed = false;
       e.disconnectTask = null;
       e.responses++;
+      e.updatePhase();
       if (e.hasPipelined) {
         e.refusePipelined();
       } else {
@@ -393,6 +486,7 @@
       TrackedConnection e = entries.remove(connection);
       if (e != null) {
         entriesBySocket.remove(e.socket);
+        register.remove(e);
         e.notifyDisconnected();
       }
     }
@@ -425,6 +519,7 @@
       TrackedConnection e = isTls ? null : entriesBySocket.get(socket);
       if (e != null) {
         e.checkFraming(buf);
+        closeExcess();
       }
     }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/RequestFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/RequestFraming.java
@@ -13,13 +13,12 @@
 
   private static final int MAX_SIZE_DIGITS = 8;
   private static final int BAD_REQUEST = 400;
+  private static final int HEAD_TOO_LARGE = 431;
   private static final int NOT_IMPLEMENTED = 501;
   private static final String HOST = "host";
   private static final String UPGRADE = "upgrade";
 
-  /** RFC 9112 has a server ignore empty lines before a request. */
-  private static final Grammar GRAMMAR =
-      new Grammar(Set.of(HOST, UPGRADE), true, false, MAX_SIZE_DIGITS);
+  private static final Set<String> CHECKED_NAMES = Set.of(HOST, UPGRADE);
 
   /**
    * Why a request is refused.
@@ -33,8 +32,14 @@
   private int hosts;
   private Fault fault;
 
-  RequestFraming() {
-    super(GRAMMAR);
+  /**
+   * Creates a reader of the requests on one connection.
+   *
+   * @param maxHeadBytes largest head of a request with the empty lines before it, in bytes
+   */
+  RequestFraming(int maxHeadBytes) {
+    // RFC 9112 has a server ignore empty lines before a request.
+    super(new Grammar(CHECKED_NAMES, true, false, MAX_SIZE_DIGITS, maxHeadBytes));
   }
 
   /** Returns what is wrong with the first improper request, if there was one. */
@@ -111,8 +116,14 @@
   }
 
   @Override
-  void onFault(String reason, boolean isUnsupported) {
-    fault = new Fault(isUnsupported ? NOT_IMPLEMENTED : BAD_REQUEST, reason, completed());
+  void onFault(String reason, FaultKind kind) {
+    int status =
+        switch (kind) {
+          case MALFORMED -> BAD_REQUEST;
+          case UNSUPPORTED -> NOT_IMPLEMENTED;
+          case HEAD_TOO_LARGE -> HEAD_TOO_LARGE;
+        };
+    fault = new Fault(status, reason, completed());
   }
 
   /**
@@ -134,7 +145,12 @@
    * @return the bytes to send
    */
   public static byte[] toResponse(Fault fault, String contentType, String body) {
-    String phrase = fault.status() == NOT_IMPLEMENTED ? "Not Implemented" : "Bad Request";
+    String phrase =
+        switch (fault.status()) {
+          case NOT_IMPLEMENTED -> "Not Implemented";
+          case HEAD_TOO_LARGE -> "Request Header Fields Too Large";
+          default -> "Bad Request";
+        };
     String type = contentType.isEmpty() ? "" : "Content-Type: " + contentType + "\r\n";
     int size = body.getBytes(StandardCharsets.UTF_8).length;
     return ("HTTP/1.1 "
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/ResponseFraming.java
@@ -13,7 +13,8 @@
 public final class ResponseFraming extends MessageFraming {
 
   private static final int MAX_SIZE_DIGITS = 9;
-  private static final Grammar GRAMMAR = new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS);
+  private static final Grammar GRAMMAR =
+      new Grammar(Set.of(), false, true, MAX_SIZE_DIGITS, Integer.MAX_VALUE);
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
   private static final int FIRST_FINAL_STATUS = 200;
@@ -99,7 +100,7 @@
   }
 
   @Override
-  void onFault(String reason, boolean isUnsupported) {
+  void onFault(String reason, FaultKind kind) {
     fault = reason;
   }
 }
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/Main.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/Main.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.hibiscusreel.daemon.http.HttpLibrary;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
 import org.hibiscusreel.daemon.settings.SettingsException;
 import org.hibiscusreel.daemon.settings.SettingsReader;
@@ -51,6 +52,7 @@
    * @param arguments command line
    */
   public static void main(String[] arguments) {
+    HttpLibrary.configure();
     int status = new Main(System.out, System.err).run(arguments);
     // Threads of gRPC or of a blocked stop must not keep the process alive. If a shutdown hook is
     // running, the hook sets the exit status.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/settings/DaemonSettings.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
 
 /**
  * Settings of one daemon.
@@ -83,12 +84,52 @@
    *     them
    * @param maxConnections largest number of connections of callers
    * @param drainTimeoutMs longest time that a graceful stop waits for requests, in milliseconds
+   * @param maxHeadBytes largest head of a request of a caller, in bytes
+   * @param headMemoryBytes largest memory of all heads that lack their end, in bytes
+   * @param bodyMemoryBytes largest memory of all bodies that are being read, in bytes
    */
   public record Limits(
       @JsonProperty(required = true) int maxBodyBytes,
       @JsonProperty(required = true) int maxBufferedBills,
       @JsonProperty(required = true) int maxConnections,
-      @JsonProperty(required = true) long drainTimeoutMs) {}
+      @JsonProperty(required = true) long drainTimeoutMs,
+      Integer maxHeadBytes,
+      Long headMemoryBytes,
+      Long bodyMemoryBytes) {
+
+    /** All bodies that are being read may take the heap divided by this. */
+    private static final int BODY_HEAP_DIVISOR = 4;
+
+    /** Sets the values that are missing to those that fit the heap. */
+    public Limits {
+      long heap = Runtime.getRuntime().maxMemory();
+      maxHeadBytes = maxHeadBytes == null ? ConnectionLimits.DEFAULT_MAX_HEAD_BYTES : maxHeadBytes;
+      headMemoryBytes =
+          headMemoryBytes == null ? ConnectionLimits.headMemoryBytes(heap) : headMemoryBytes;
+      bodyMemoryBytes = bodyMemoryBytes == null ? heap / BODY_HEAP_DIVISOR : bodyMemoryBytes;
+    }
+
+    /**
+     * Creates limits with the default values of those that settings need not contain.
+     *
+     * @param maxBodyBytes largest request body of a caller, in bytes
+     * @param maxBufferedBills largest number of buffered bills
+     * @param maxConnections largest number of connections of callers
+     * @param drainTimeoutMs longest time that a graceful stop waits for requests, in milliseconds
+     */
+    public Limits(int maxBodyBytes, int maxBufferedBills, int maxConnections, long drainTimeoutMs) {
+      this(maxBodyBytes, maxBufferedBills, maxConnections, drainTimeoutMs, null, null, null);
+    }
+
+    /**
+     * Returns the limits of the connections of callers.
+     *
+     * @return limits
+     */
+    public ConnectionLimits toConnectionLimits() {
+      return new ConnectionLimits(maxConnections, maxHeadBytes, headMemoryBytes);
+    }
+  }
 
   /**
    * Settings of the log.
--- a/daemon/src/main/java/org/hibiscusreel/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/settings/SettingsReader.java
@@ -237,6 +237,9 @@
       requirePositive("limits.max_buffered_bills", s.limits().maxBufferedBills());
       requirePositive("limits.max_connections", s.limits().maxConnections());
       requirePositive("limits.drain_timeout_ms", s.limits().drainTimeoutMs());
+      requirePositive("limits.max_head_bytes", s.limits().maxHeadBytes());
+      requirePositive("limits.head_memory_bytes", s.limits().headMemoryBytes());
+      requirePositive("limits.body_memory_bytes", s.limits().bodyMemoryBytes());
     }
 
     private void requireText(String key, String value) throws SettingsException {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/ForwardDaemonTest.java
@@ -121,6 +121,7 @@
             1_000,
             1e6,
             100,
+            IntakeLimits.forProcess(4_096, 48_000_000),
             new ForwardSettings("d", 0.2, 10, 2_000));
     ForwardDaemon.Dependencies ports =
         new ForwardDaemon.Dependencies(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/RelayServerTest.java
@@ -28,6 +28,7 @@
 import org.hibiscusreel.core.forward.RequestLimit;
 import org.hibiscusreel.core.forward.UpstreamEntry;
 import org.hibiscusreel.core.forward.UpstreamNotice;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
 import org.hibiscusreel.daemon.http.TrafficListener;
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
@@ -99,6 +100,7 @@
                   scheduler,
                   new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
                   Duration.ofMillis(400),
+                  new ConnectionLimits(256, RelayedConnection.MAX_HEAD_BYTES, 1_000_000),
                   this::decide,
                   paths,
                   (u, n, sentAt) -> notices.add(u.id() + " " + n.isLeaving()),
