Cut no request that waits for its response, and close after a read

A caller that begins a further request before its response counted as one that keeps a head unfinished, so that its connection could be closed for another one. The request that waits is now looked at first.

Connections over the limit were closed inside the read of one of them; they are closed after it, as improper requests are refused. Found by reading; no case of its own failed before.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -58,6 +58,7 @@
   private TcpSocket lastOpenedSocket;
   private boolean isLastOpenedTls;
   private long closedByLimits;
+  private boolean isClosingExcess;
 
   /**
    * Creates a tracker without connections.
@@ -215,13 +216,14 @@
 
     /** Tells what the connection is waiting for; the framing of TLS is not read. */
     private ConnectionRegister.Phase phase() {
+      long arrived = isTls ? requests : framing.completed();
+      if (arrived > responses) {
+        // The caller may have begun to send a further request already.
+        return ConnectionRegister.Phase.RESPONSE;
+      }
       if (!isTls && framing.isInHead()) {
         return ConnectionRegister.Phase.HEAD;
       }
-      long begun = isTls ? requests : framing.completed();
-      if (begun > responses) {
-        return ConnectionRegister.Phase.RESPONSE;
-      }
       if (!isTls && !framing.isBetweenMessages()) {
         return ConnectionRegister.Phase.BODY;
       }
@@ -359,7 +361,16 @@
     return replaceable.isPresent();
   }
 
+  /** Closes connections after the current read, which may be one of theirs. */
+  private void scheduleCloseExcess() {
+    if (!isClosingExcess && !register.hasHeadMemory()) {
+      isClosingExcess = true;
+      scheduler.schedule(0, this::closeExcess);
+    }
+  }
+
   private void closeExcess() {
+    isClosingExcess = false;
     for (TrackedConnection c : register.findExcess()) {
       closedByLimits++;
       c.close();
@@ -519,7 +530,7 @@
       TrackedConnection e = isTls ? null : entriesBySocket.get(socket);
       if (e != null) {
         e.checkFraming(buf);
-        closeExcess();
+        scheduleCloseExcess();
       }
     }
 
