Leave memory to heads beside the requests that a relay passes on

Each relayed request counts a buffer of 4 KiB, so that 128 of them took the 512 KiB for heads and every further head that came in two reads was reset. The default grows by the buffers of all relayed requests. IntakeLimitsTest#leavesMemoryToHeadsBesideRelayedRequests fails with the default before, by its arithmetic, and passes now.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/IntakeLimits.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/IntakeLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.hibiscusreel.daemon.http.ConnectionLimits;
+import org.hibiscusreel.daemon.http.ConnectionRegister;
 
 /**
  * What the clients of a daemon may take of its descriptors and memory.
@@ -88,7 +89,11 @@
         new ConnectionLimits((int) callers, ConnectionLimits.DEFAULT_MAX_HEAD_BYTES, headMemory),
         new ConnectionLimits(status, STATUS_HEAD_BYTES, ConnectionLimits.MIN_HEAD_MEMORY_BYTES),
         new ConnectionLimits(
-            relayed, RelayedConnection.MAX_HEAD_BYTES, ConnectionLimits.MIN_HEAD_MEMORY_BYTES),
+            relayed,
+            RelayedConnection.MAX_HEAD_BYTES,
+            // Each request that is passed on counts a buffer, beside the heads that lack their end.
+            ConnectionLimits.MIN_HEAD_MEMORY_BYTES
+                + (long) relayed * ConnectionRegister.READ_BUFFER_BYTES),
         Math.max(minBodyMemoryBytes(), heapBytes / BODY_HEAP_DIVISOR));
   }
 }
--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/IntakeLimitsTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/IntakeLimitsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import org.hibiscusreel.daemon.http.ConnectionLimits;
+import org.hibiscusreel.daemon.http.ConnectionRegister;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -24,6 +26,20 @@
     assertThat(used).isBetween(1, descriptors - FILES);
   }
 
+  /** Guards against relayed requests that leave no memory to the head of a further one. */
+  @Test
+  void leavesMemoryToHeadsBesideRelayedRequests() {
+    ConnectionLimits relays = IntakeLimits.forProcess(4_100, HEAP).relays();
+    ConnectionRegister<Integer> register = new ConnectionRegister<>(relays);
+    for (int i = 0; i < relays.maxConnections(); i++) {
+      register.add(i, 0);
+      register.update(i, ConnectionRegister.Phase.RESPONSE, 0, 0);
+    }
+    register.add(-1, 0);
+    register.update(-1, ConnectionRegister.Phase.HEAD, relays.maxHeadBytes(), 0);
+    assertThat(register.findExcess()).isEmpty();
+  }
+
   /** Guards against limits of few descriptors that let nobody in. */
   @ParameterizedTest
   @CsvSource({"1", "200", "201"})
