Give a test of pieces its event loop, and one of relays an upload that can't fit

Buffers of receivers may hold 33 MB here (tcp_rmem), so that it can fit into those of two connections. That this was so in the failed run is inferred, as it kept no sizes. The upload is 128 MB now; all checks are as before.

--- a/daemon/src/test/java/org/hibiscusreel/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/forward/RelayServerTest.java
@@ -43,6 +43,10 @@
 
   private static final int TIMEOUT_MILLIS = 5_000;
   private static final int LARGE_BYTES = 64 * 1024 * 1024;
+
+  /** More than the buffers of two connections hold, each up to 33 MB where it is received. */
+  private static final int UPLOAD_BYTES = 2 * LARGE_BYTES;
+
   private static final String HEAD = "HTTP/1.1 200 OK\r\nLeaving: 1\r\n\r\n";
 
   private final TestLoop loop = new TestLoop();
@@ -268,7 +272,7 @@
   /** Guards against a part of a response that ends like all of it after the upload failed. */
   @Test
   void passesResetDuringUploadOnAsReset() throws Exception {
-    String request = expectedRequest("x".repeat(LARGE_BYTES / 8));
+    String request = expectedRequest("x".repeat(UPLOAD_BYTES));
     try (Socket origin = new Socket(InetAddress.getLoopbackAddress(), port)) {
       CompletableFuture<Void> upload =
           CompletableFuture.runAsync(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/http/BodyPiecesTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/http/BodyPiecesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
 import java.util.Random;
@@ -18,6 +19,7 @@
     byte[] body = new byte[size];
     new Random(size).nextBytes(body);
     assertThat(BodyPieces.isLarge(body)).isTrue();
+    Eventloop.builder().withCurrentThread().build();
     var pieces = BodyPieces.of(body);
     ByteArrayOutputStream sent = new ByteArrayOutputStream();
     for (Promise<ByteBuf> p = pieces.get(); p.getResult() != null; p = pieces.get()) {
