--- a/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ProcessTopology.java
+++ b/bench-tools/src/main/java/org/hibiscusreel/bench/demo/ProcessTopology.java
@@ -39,6 +39,7 @@
   private final List<String> domains;
   private final int maxConcurrent;
   private final int maxConnections;
+  private String tls = "";
   private final Map<String, String> peerAddresses = new LinkedHashMap<>();
 
   /**
@@ -85,6 +86,13 @@
     }
   }
 
+  /** Has the daemons that are started from now on use TLS at the callers' ports. */
+  void useTls(Path certificate, Path key) {
+    tls =
+        "[tls.callers]\ncertificate = %s\nkey = %s"
+            .formatted(quote(certificate.toString()), quote(key.toString()));
+  }
+
   private static List<String> findFreeAddresses(int count) throws IOException {
     List<ServerSocket> open = new ArrayList<>();
     List<String> addresses = new ArrayList<>();
@@ -145,6 +153,7 @@
         drain_timeout_ms = 15000
         [log]
         level = "INFO"
+        %s
         """
             .formatted(
                 host,
@@ -157,7 +166,8 @@
                 platformAddress,
                 platformAddress,
                 seeds,
-                maxConnections);
+                maxConnections,
+                tls);
     return Files.writeString(directory.resolve(host + ".toml"), text);
   }
 
--- a/bench-tools/src/test/java/org/hibiscusreel/bench/demo/CallerCrowdTest.java
+++ b/bench-tools/src/test/java/org/hibiscusreel/bench/demo/CallerCrowdTest.java
@@ -2,17 +2,27 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.cert.X509Certificate;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import javax.net.SocketFactory;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManager;
+import javax.net.ssl.X509TrustManager;
 import org.hibiscusreel.bench.check.Outcome;
 import org.hibiscusreel.testsupport.ClientCrowd;
 import org.hibiscusreel.testsupport.ClientForm;
 import org.hibiscusreel.testsupport.ProcessWatch;
+import org.hibiscusreel.testsupport.TestCertificates;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -39,6 +49,17 @@
   private static final int ENDLESS = 60;
   private static final int BODIES = 120;
   private static final int CONNECTIONS = 1_000;
+  private static final int LONG_HEADS = 90;
+  private static final int LONG_FIELDS = 50;
+  private static final int LONG_FIELD_BYTES = 60_000;
+  private static final int READ_TIMEOUT_MILLIS = 15_000;
+
+  /** Ports of a daemon; the one of callers has TLS or not. */
+  private enum Port {
+    CALLERS,
+    TLS,
+    ADMIN
+  }
 
   /** Clients of each form in a crowd of all forms. */
   private static final int OF_EACH_FORM = 20;
@@ -57,88 +78,127 @@
 
   @Test
   void survivesHeadsOverLimit() throws Exception {
-    play(false, HEADS, ClientForm.HEAD_OVER_LIMIT);
+    play(Port.CALLERS, HEADS, ClientForm.HEAD_OVER_LIMIT);
   }
 
   @Test
   void survivesHeadsCutShort() throws Exception {
-    play(false, HEADS, ClientForm.HEAD_CUT_SHORT);
+    play(Port.CALLERS, HEADS, ClientForm.HEAD_CUT_SHORT);
   }
 
   @Test
   void survivesFieldWithoutEnd() throws Exception {
-    play(false, HEADS, ClientForm.FIELD_WITHOUT_END);
+    play(Port.CALLERS, HEADS, ClientForm.FIELD_WITHOUT_END);
   }
 
   @Test
   void survivesEmptyLinesWithoutEnd() throws Exception {
-    play(false, ENDLESS, ClientForm.EMPTY_LINES_WITHOUT_END);
+    play(Port.CALLERS, ENDLESS, ClientForm.EMPTY_LINES_WITHOUT_END);
   }
 
   @Test
   void survivesRequestLinesAlone() throws Exception {
-    play(false, CONNECTIONS, ClientForm.REQUEST_LINE_ONLY);
+    play(Port.CALLERS, CONNECTIONS, ClientForm.REQUEST_LINE_ONLY);
   }
 
   @Test
   void survivesBodies() throws Exception {
-    play(false, BODIES, ClientForm.BODY);
+    play(Port.CALLERS, BODIES, ClientForm.BODY);
   }
 
   @Test
   void survivesBodiesCutShort() throws Exception {
-    play(false, BODIES, ClientForm.BODY_CUT_SHORT);
+    play(Port.CALLERS, BODIES, ClientForm.BODY_CUT_SHORT);
   }
 
   @Test
   void survivesLargeChunksCutShort() throws Exception {
-    play(false, BODIES, ClientForm.LARGE_CHUNKS_CUT_SHORT);
+    play(Port.CALLERS, BODIES, ClientForm.LARGE_CHUNKS_CUT_SHORT);
   }
 
   @Test
   void survivesSmallChunksCutShort() throws Exception {
-    play(false, BODIES, ClientForm.SMALL_CHUNKS_CUT_SHORT);
+    play(Port.CALLERS, BODIES, ClientForm.SMALL_CHUNKS_CUT_SHORT);
   }
 
   @Test
   void survivesAllFormsTogether() throws Exception {
-    play(false, ClientForm.values().length * OF_EACH_FORM);
+    play(Port.CALLERS, ClientForm.values().length * OF_EACH_FORM);
   }
 
   @Test
   void survivesAllFormsTogetherAtAdminPort() throws Exception {
-    play(true, ClientForm.values().length * OF_EACH_FORM);
+    play(Port.ADMIN, ClientForm.values().length * OF_EACH_FORM);
+  }
+
+  @Test
+  void survivesLongFieldsCutShortAtAdminPort() throws Exception {
+    playLongFields(Port.ADMIN);
+  }
+
+  @Test
+  void survivesHeadsCutShortOverTls() throws Exception {
+    play(Port.TLS, HEADS, ClientForm.HEAD_CUT_SHORT);
   }
 
-  private void play(boolean isAdmin, int clients, ClientForm form) throws Exception {
-    play(isAdmin, clients, i -> form);
+  @Test
+  void survivesLongFieldsCutShortOverTls() throws Exception {
+    playLongFields(Port.TLS);
+  }
+
+  @Test
+  void survivesBodiesCutShortOverTls() throws Exception {
+    play(Port.TLS, BODIES, ClientForm.BODY_CUT_SHORT);
+  }
+
+  @Test
+  void survivesAllFormsTogetherOverTls() throws Exception {
+    play(Port.TLS, ClientForm.values().length * OF_EACH_FORM);
   }
 
-  private void play(boolean isAdmin, int clients) throws Exception {
+  /** Each head has as many fields as the HTTP library reads, each nearly as long as it reads. */
+  private void playLongFields(Port port) throws Exception {
+    String fields = ("Own: " + "x".repeat(LONG_FIELD_BYTES) + "\r\n").repeat(LONG_FIELDS);
+    play(
+        port, LONG_HEADS, i -> new ClientCrowd.Client(ClientForm.HEAD_CUT_SHORT, head(i) + fields));
+  }
+
+  private void play(Port port, int clients, ClientForm form) throws Exception {
+    play(port, clients, i -> new ClientCrowd.Client(form, head(i)));
+  }
+
+  private void play(Port port, int clients) throws Exception {
     List<ClientForm> forms = List.of(ClientForm.values());
-    play(isAdmin, clients, i -> forms.get(i % forms.size()));
+    play(port, clients, i -> new ClientCrowd.Client(forms.get(i % forms.size()), head(i)));
   }
 
-  private void play(boolean isAdmin, int clients, IntFunction<ClientForm> form) throws Exception {
+  private void play(Port port, int clients, IntFunction<ClientCrowd.Client> client)
+      throws Exception {
     ProcessTopology topology = new ProcessTopology(folder, List.of("cr-a"), 1, 64, MAX_CONNECTIONS);
+    if (port == Port.TLS) {
+      TestCertificates t = TestCertificates.create(folder, "callers");
+      topology.useTls(t.certificate(), t.key());
+    }
+    SocketFactory sockets =
+        port == Port.TLS ? trustAll().getSocketFactory() : SocketFactory.getDefault();
     try (ChildProcesses processes = new ChildProcesses(folder)) {
       new Fleet(ROOT, processes, topology, SMALL_HEAP).start(BUDGET_TOKENS, List.of());
       Map.Entry<String, String> caller = topology.callerAddresses.entrySet().iterator().next();
       String host = caller.getKey();
-      String target = isAdmin ? topology.adminAddresses.get(host) : caller.getValue();
+      String target = port == Port.ADMIN ? topology.adminAddresses.get(host) : caller.getValue();
       Process daemon = processes.get(host);
       ProcessWatch watch = new ProcessWatch(daemon.pid());
       try (ClientCrowd crowd =
-          new ClientCrowd(
-              toSocketAddress(target),
-              clients,
-              MAX_BODY_BYTES,
-              i -> new ClientCrowd.Client(form.apply(i), head(i)))) {
+          new ClientCrowd(sockets, toSocketAddress(target), clients, MAX_BODY_BYTES, client)) {
         crowd.awaitSent(SENDING_MILLIS);
         crowd.awaitEnd(OPEN_MILLIS);
         assertThat(daemon.isAlive()).as("the daemon lives").isTrue();
-        assertThat(sendWithRetries(caller.getValue()))
-            .hasValueSatisfying(o -> assertThat(o).isInstanceOf(Outcome.Whole.class));
+        if (port == Port.TLS) {
+          assertThat(exchangeWithRetries(sockets, caller.getValue())).startsWith("HTTP/1.1 200");
+        } else {
+          assertThat(sendWithRetries(caller.getValue()))
+              .hasValueSatisfying(o -> assertThat(o).isInstanceOf(Outcome.Whole.class));
+        }
       }
       assertThat(daemon.isAlive()).as("the daemon lives").isTrue();
       watch.close();
@@ -149,6 +209,46 @@
     }
   }
 
+  /** Returns a context that accepts the certificate of the test, whose name is not checked. */
+  private static SSLContext trustAll() throws GeneralSecurityException {
+    X509TrustManager any =
+        new X509TrustManager() {
+          @Override
+          public void checkClientTrusted(X509Certificate[] chain, String type) {}
+
+          @Override
+          public void checkServerTrusted(X509Certificate[] chain, String type) {}
+
+          @Override
+          public X509Certificate[] getAcceptedIssuers() {
+            return new X509Certificate[0];
+          }
+        };
+    SSLContext context = SSLContext.getInstance("TLS");
+    context.init(null, new TrustManager[] {any}, null);
+    return context;
+  }
+
+  /** Sends an ordinary request over TLS again while it is refused or its connection is closed. */
+  private static String exchangeWithRetries(SocketFactory sockets, String address)
+      throws InterruptedException {
+    String answer = "";
+    for (int i = 0; i <= RETRIES && !answer.startsWith("HTTP/1.1 200"); i++) {
+      TimeUnit.MILLISECONDS.sleep(i == 0 ? 0 : RETRY_MILLIS);
+      try (Socket s = sockets.createSocket()) {
+        s.connect(toSocketAddress(address));
+        s.setSoTimeout(READ_TIMEOUT_MILLIS);
+        String head = head(i).replace("crowd-", "ordinary-") + "Connection: close\r\n";
+        ClientForm.BODY.send(s.getOutputStream(), head, 1);
+        byte[] received = s.getInputStream().readAllBytes();
+        answer = new String(received, StandardCharsets.ISO_8859_1);
+      } catch (IOException e) {
+        answer = e.toString();
+      }
+    }
+    return answer;
+  }
+
   private static InetSocketAddress toSocketAddress(String address) {
     int colon = address.lastIndexOf(':');
     return new InetSocketAddress(
--- a/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerTlsTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/caller/CallerTlsTest.java
@@ -21,8 +21,8 @@
 import org.hibiscusreel.daemon.loop.EventLoopScheduler;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
-import org.hibiscusreel.daemon.peer.TestCertificates;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
+import org.hibiscusreel.testsupport.TestCertificates;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- a/daemon/src/test/java/org/hibiscusreel/daemon/peer/GrpcPeerTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/peer/GrpcPeerTest.java
@@ -15,6 +15,7 @@
 import org.hibiscusreel.coordination.port.PeerHandler;
 import org.hibiscusreel.daemon.loop.TestLoop;
 import org.hibiscusreel.daemon.settings.DaemonSettings;
+import org.hibiscusreel.testsupport.TestCertificates;
 import org.hibiscusreel.wire.ProbeRequest;
 import org.hibiscusreel.wire.ProbeResponse;
 import org.hibiscusreel.wire.ReserveRequest;
--- a/test-support/src/main/java/org/hibiscusreel/testsupport/ClientCrowd.java
+++ b/test-support/src/main/java/org/hibiscusreel/testsupport/ClientCrowd.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import javax.net.SocketFactory;
 
 /**
  * Clients of a server on a loopback address that send at the same time, each on a connection and a
@@ -24,13 +25,16 @@
   private static final Logger LOG = System.getLogger(ClientCrowd.class.getName());
   private static final int ROUNDS = 3;
   private static final long STACK_BYTES = 256 * 1024;
+  private static final int UNREAD_BUFFER_BYTES = 8_192;
   private static final int CONNECT_TIMEOUT_MILLIS = 5_000;
 
+  private final SocketFactory factory;
   private final InetSocketAddress server;
   private final int bodyBytes;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<Thread> threads = new ArrayList<>();
   private final CountDownLatch sending;
+  private final CountDownLatch closing = new CountDownLatch(1);
   private volatile boolean closed;
 
   /**
@@ -38,8 +42,20 @@
    *
    * @param form what it sends
    * @param head request line and fields, each with its line end
+   * @param reads whether it reads what the server sends
    */
-  public record Client(ClientForm form, String head) {}
+  public record Client(ClientForm form, String head, boolean reads) {
+
+    /**
+     * Creates a client that reads what the server sends.
+     *
+     * @param form what it sends
+     * @param head request line and fields, each with its line end
+     */
+    public Client(ClientForm form, String head) {
+      this(form, head, true);
+    }
+  }
 
   /**
    * Starts a crowd.
@@ -51,6 +67,25 @@
    */
   public ClientCrowd(
       InetSocketAddress server, int count, int bodyBytes, IntFunction<Client> clients) {
+    this(SocketFactory.getDefault(), server, count, bodyBytes, clients);
+  }
+
+  /**
+   * Starts a crowd with sockets of a kind, for instance those of TLS.
+   *
+   * @param factory creates the sockets
+   * @param server address that the clients connect to
+   * @param count number of clients
+   * @param bodyBytes size of their bodies, in bytes
+   * @param clients returns the client with a number from 0
+   */
+  public ClientCrowd(
+      SocketFactory factory,
+      InetSocketAddress server,
+      int count,
+      int bodyBytes,
+      IntFunction<Client> clients) {
+    this.factory = factory;
     this.server = server;
     this.bodyBytes = bodyBytes;
     this.sending = new CountDownLatch(count);
@@ -66,13 +101,23 @@
   private void run(Client client) {
     for (int round = 0; round < ROUNDS && !closed; round++) {
       boolean isFirst = round == 0;
-      try (Socket socket = new Socket()) {
+      try (Socket socket = factory.createSocket()) {
         sockets.add(socket);
+        if (!client.reads()) {
+          socket.setReceiveBufferSize(UNREAD_BUFFER_BYTES);
+        }
         connect(socket, isFirst);
         sendAll(client, socket, isFirst);
+        if (!client.reads()) {
+          closing.await();
+          return;
+        }
         socket.getInputStream().transferTo(OutputStream.nullOutputStream());
       } catch (IOException e) {
         LOG.log(Level.DEBUG, "a client was refused", e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
       }
     }
   }
@@ -132,6 +177,7 @@
   @Override
   public void close() throws InterruptedException {
     closed = true;
+    closing.countDown();
     for (Thread t : threads) {
       while (t.isAlive()) {
         sockets.forEach(ClientCrowd::closeQuietly);
--- a/daemon/src/test/java/org/hibiscusreel/daemon/peer/TestCertificates.java
+++ b/test-support/src/main/java/org/hibiscusreel/testsupport/TestCertificates.java
@@ -1,4 +1,4 @@
-package org.hibiscusreel.daemon.peer;
+package org.hibiscusreel.testsupport;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -18,7 +18,16 @@
 
   private static final String PASSWORD = "changeit";
 
-  /** Creates a certificate in a directory. */
+  /**
+   * Creates a certificate in a directory.
+   *
+   * @param directory receives the files
+   * @param name name of the certificate and of the files
+   * @return the certificate
+   * @throws IOException if keytool fails
+   * @throws InterruptedException if interrupted
+   * @throws GeneralSecurityException if the key can't be read
+   */
   public static TestCertificates create(Path directory, String name)
       throws IOException, InterruptedException, GeneralSecurityException {
     Path store = directory.resolve(name + ".p12");
