Count the capacity of bodies at the own interface, not their bytes

Many bodies just short of their end ended the daemon over TLS.

BodyReader counted the bytes that it had received, but kept them in an array that doubles, so that up to twice the limit was taken. The buffer of RequestBodyReader, which counts its capacity, is a class of its own now and used by both.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/BodyReader.java
@@ -4,11 +4,11 @@
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import java.io.ByteArrayOutputStream;
 import org.hibiscusreel.coordination.port.Cancellable;
 import org.hibiscusreel.coordination.port.Scheduler;
 import org.hibiscusreel.core.request.ProblemCode;
 import org.hibiscusreel.daemon.http.BodyMemory;
+import org.hibiscusreel.daemon.http.LeasedBuffer;
 
 /** Reads the body of a request with a size limit and a timeout. */
 final class BodyReader {
@@ -25,9 +25,8 @@
   private static final long RETRY_AFTER_MILLIS = 1000;
 
   private final ChannelSupplier<ByteBuf> source;
-  private final BodyMemory.Lease memory;
   private final int limit;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final LeasedBuffer body;
   private final SettablePromise<byte[]> result = new SettablePromise<>();
   private final Cancellable timer;
   private boolean isBuffered = true;
@@ -37,7 +36,7 @@
       ChannelSupplier<ByteBuf> source, int limit, BodyMemory memory, Scheduler scheduler) {
     this.source = source;
     this.limit = limit;
-    this.memory = memory.lease("");
+    this.body = new LeasedBuffer(memory.lease(""), limit);
     this.timer =
         scheduler.schedule(
             BODY_TIMEOUT_MILLIS,
@@ -93,10 +92,10 @@
     } else {
       received += buf.readRemaining();
       if (received <= limit && isBuffered) {
-        append(buf.asArray());
+        append(buf);
       } else {
         buf.recycle();
-        release();
+        body.release();
         if (received > (long) limit * DISCARD_FACTOR) {
           fail(tooLarge());
         }
@@ -104,19 +103,14 @@
     }
   }
 
-  private void append(byte[] bytes) {
-    if (!memory.grow(bytes.length)) {
+  private void append(ByteBuf buf) {
+    boolean hasRoom = body.append(buf.array(), buf.head(), buf.readRemaining());
+    buf.recycle();
+    if (!hasRoom) {
       fail(
           new ProblemException(
               ProblemCode.OVERLOADED, "too many bodies are being read", RETRY_AFTER_MILLIS));
-      return;
     }
-    body.writeBytes(bytes);
-  }
-
-  private void release() {
-    memory.release();
-    body.reset();
   }
 
   private void complete() {
@@ -124,15 +118,15 @@
     if (received > limit) {
       fail(tooLarge());
     } else {
-      byte[] bytes = body.toByteArray();
-      release();
+      byte[] bytes = body.toArray();
+      body.release();
       result.trySet(bytes);
     }
   }
 
   private void fail(ProblemException e) {
     timer.cancel();
-    release();
+    body.release();
     result.trySetException(e);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/RequestBodyReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/RequestBodyReader.java
@@ -6,28 +6,24 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.MalformedHttpException;
 import io.activej.promise.Promise;
-import java.util.Arrays;
 import java.util.Optional;
 import org.hibiscusreel.daemon.http.BodyMemory;
+import org.hibiscusreel.daemon.http.LeasedBuffer;
 
 /**
  * Reads the body of a request as far as there is memory for it. Otherwise the body is read and
- * discarded, since a caller that is still sending does not read its response. Memory is taken as
- * the bytes arrive: a caller that only declares them keeps none from others.
+ * discarded, since a caller that is still sending does not read its response.
  */
 final class RequestBodyReader {
 
-  private final BodyMemory.Lease memory;
+  private final LeasedBuffer content;
   private final int maxBytes;
-  private final int declaredBytes;
-  private byte[] content = new byte[0];
   private int received;
   private boolean isDiscarded;
 
   private RequestBodyReader(BodyMemory.Lease memory, int maxBytes, int declaredBytes) {
-    this.memory = memory;
+    this.content = new LeasedBuffer(memory, declaredBytes > 0 ? declaredBytes : maxBytes);
     this.maxBytes = maxBytes;
-    this.declaredBytes = declaredBytes;
     this.isDiscarded = !memory.hasRoom(declaredBytes);
   }
 
@@ -58,45 +54,18 @@
     }
   }
 
-  /** Makes room for a number of bytes, or discards what was read if there is no memory. */
-  private void reserve(int bytes) {
-    if (isDiscarded || bytes <= content.length) {
-      return;
-    }
-    int mostBytes = declaredBytes > 0 ? declaredBytes : maxBytes;
-    if (!grow(Math.max(bytes, Math.min(2 * bytes, mostBytes))) && !grow(bytes)) {
-      isDiscarded = true;
-      content = new byte[0];
-      memory.release();
-    }
-  }
-
-  private boolean grow(int capacity) {
-    boolean hasRoom = memory.grow(capacity - content.length);
-    if (hasRoom) {
-      content = Arrays.copyOf(content, capacity);
-    }
-    return hasRoom;
-  }
-
   private void add(ByteBuf next) throws MalformedHttpException {
     int count = next.readRemaining();
     if (received + (long) count > maxBytes) {
       next.recycle();
       throw new MalformedHttpException("the body is larger than " + maxBytes + " bytes");
     }
-    reserve(received + count);
-    if (!isDiscarded) {
-      next.drainTo(content, received, count);
-    }
+    isDiscarded |= !isDiscarded && !content.append(next.array(), next.head(), count);
     next.recycle();
     received += count;
   }
 
   private Optional<byte[]> toResult() {
-    if (isDiscarded) {
-      return Optional.empty();
-    }
-    return Optional.of(content.length == received ? content : Arrays.copyOf(content, received));
+    return isDiscarded ? Optional.empty() : Optional.of(content.toArray());
   }
 }
