Bound the heads of requests at the admin port

Clients with many long fields ended the daemon through its admin port. Its connections were limited, their heads were not, and had raised the longest line of the library to 64 KiB for all ports.

The port uses the same register of connections as readiness and metrics, with heads of 8 KiB.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/admin/AdminServer.java
@@ -18,6 +18,10 @@
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.hibiscusreel.coordination.port.Scheduler;
+import org.hibiscusreel.daemon.http.CallerConnections;
+import org.hibiscusreel.daemon.http.ConnectionLimits;
+import org.hibiscusreel.daemon.http.RequestFraming;
 import org.hibiscusreel.daemon.metrics.DaemonMetrics;
 import org.hibiscusreel.daemon.platform.JsonBodies;
 
@@ -26,8 +30,14 @@
 
   private static final int MAX_EVENTS = 1000;
   private static final int MAX_CONNECTIONS = 100;
+  private static final int MAX_HEAD_BYTES = 8 * 1024;
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+  /** Limits of connections, of which monitoring needs a few with small requests. */
+  private static final ConnectionLimits LIMITS =
+      new ConnectionLimits(MAX_CONNECTIONS, MAX_HEAD_BYTES, ConnectionLimits.MIN_HEAD_MEMORY_BYTES);
+
+  private final CallerConnections connections;
   private final HttpServer server;
   private final DaemonMetrics metrics;
   private final EventLog events;
@@ -38,6 +48,7 @@
    * Creates a server that does not listen yet.
    *
    * @param reactor the event loop
+   * @param scheduler time and delayed tasks of the same event loop
    * @param address address to bind
    * @param metrics metrics to serve
    * @param events timeline to serve
@@ -47,6 +58,7 @@
    */
   public AdminServer(
       NioReactor reactor,
+      Scheduler scheduler,
       InetSocketAddress address,
       DaemonMetrics metrics,
       EventLog events,
@@ -64,16 +76,19 @@
             .with(HttpMethod.GET, "/events", this::events)
             .with(HttpMethod.GET, "/status", r -> json(this.status.get()))
             .build();
-    HttpServer[] self = new HttpServer[1];
+    this.connections =
+        new CallerConnections(scheduler, reactor, LIMITS, RequestFraming::toResponse);
     this.server =
         HttpServer.builder(reactor, servlet)
             .withListenAddress(address)
             .withReadWriteTimeout(TIMEOUT)
             .withKeepAliveTimeout(TIMEOUT)
-            .withAcceptFilter(
-                (c, local, remote, ssl) -> self[0].getConnectionsCount() >= MAX_CONNECTIONS)
+            .withInspector(connections.serverInspector())
+            .withSocketInspector(connections.socketInspector(false))
+            .withAcceptFilter((c, local, remote, ssl) -> !connections.admit())
             .build();
-    self[0] = server;
+    metrics.register("admin_connections", connections::count);
+    metrics.register("admin_connections_closed_by_limits", connections::closedByLimits);
   }
 
   /**
@@ -83,6 +98,7 @@
    */
   public void start() throws IOException {
     server.listen();
+    connections.start();
   }
 
   /**
@@ -91,6 +107,7 @@
    * @return completes when all connections are closed
    */
   public Promise<?> stop() {
+    connections.stop();
     return server.close();
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
@@ -115,7 +115,13 @@
             loop, scheduler, settings, callerTls(), node.requests(), node.configuration(), metrics);
     this.admin =
         new AdminServer(
-            loop, settings.listen().admin(), metrics, events, this::isReady, this::status);
+            loop,
+            scheduler,
+            settings.listen().admin(),
+            metrics,
+            events,
+            this::isReady,
+            this::status);
   }
 
   /**
