Bound the heads of requests that come over TLS

Heads without end ended the daemon of the own interface over TLS, since their bytes are not seen before the library has kept them.

The bytes that a connection receives while it has no request in progress are taken for a head: they count in the memory of all heads, and beyond the largest head and a handshake the connection is closed.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -41,6 +41,10 @@
   public static final long WRITE_TIMEOUT_MILLIS = 30_000;
 
   private static final long CLOSE_DELAY_MILLIS = 1000;
+
+  /** Largest number of bytes that TLS adds to a head, in a handshake with certificates. */
+  private static final int MAX_TLS_OVERHEAD_BYTES = 32 * 1024;
+
   private static final long CHECK_INTERVAL_MILLIS = 1000;
 
   private final Scheduler scheduler;
@@ -120,6 +124,7 @@
     private boolean hasPipelined;
     private boolean isClosing;
     private boolean isFaultRefused;
+    private int tlsBytes;
     private long requests;
     private long responses;
     private Runnable disconnectTask;
@@ -214,14 +219,14 @@
       closeAfterDelay();
     }
 
-    /** Tells what the connection is waiting for; the framing of TLS is not read. */
+    /** Tells what the connection is waiting for; of TLS only the number of bytes is known. */
     private ConnectionRegister.Phase phase() {
       long arrived = isTls ? requests : framing.completed();
       if (arrived > responses) {
         // The caller may have begun to send a further request already.
         return ConnectionRegister.Phase.RESPONSE;
       }
-      if (!isTls && framing.isInHead()) {
+      if (isTls ? tlsBytes > 0 : framing.isInHead()) {
         return ConnectionRegister.Phase.HEAD;
       }
       if (!isTls && !framing.isBetweenMessages()) {
@@ -231,7 +236,22 @@
     }
 
     private void updatePhase() {
-      register.update(this, phase(), framing.headBytes(), scheduler.nowMillis());
+      int head = isTls ? tlsBytes : framing.headBytes();
+      register.update(this, phase(), head, scheduler.nowMillis());
+    }
+
+    /** Takes the bytes of TLS that precede a request for its head. */
+    private void countTls(int bytes) {
+      if (requests > responses) {
+        return;
+      }
+      tlsBytes += bytes;
+      updatePhase();
+      if (tlsBytes > limits.maxHeadBytes() + MAX_TLS_OVERHEAD_BYTES && !isClosing) {
+        isClosing = true;
+        closedByLimits++;
+        scheduler.schedule(0, this::close);
+      }
     }
 
     /** Withholds the bytes of an improper request, and all after it, from the HTTP library. */
@@ -454,6 +474,7 @@
     public void onHttpRequest(HttpRequest request) {
       TrackedConnection e = connectionOf(request);
       e.requests++;
+      e.tlsBytes = 0;
       e.updatePhase();
     }
 
@@ -527,11 +548,16 @@
     @Override
     public void onRead(TcpSocket socket, ByteBuf buf) {
       traffic.onReceived(buf.readRemaining());
-      TrackedConnection e = isTls ? null : entriesBySocket.get(socket);
-      if (e != null) {
+      TrackedConnection e = entriesBySocket.get(socket);
+      if (e == null) {
+        return;
+      }
+      if (isTls) {
+        e.countTls(buf.readRemaining());
+      } else {
         e.checkFraming(buf);
-        scheduleCloseExcess();
       }
+      scheduleCloseExcess();
     }
 
     @Override
