Collect the responses of upstreams in blocks

Cause: a response grew in an array that doubles, so that the last copy of one of 4 MiB held 2 + 4 MiB beside the request of 4 MiB, and once more 4 MiB when it was taken from the buffer. Of the 18 MB of the old generation 8 MB are in use without load.

Change: BodyBlocks keeps a response in blocks of at most 64 KiB, which are sent as they are and freed once sent.

--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/CallerExchange.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/CallerExchange.java
@@ -1,5 +1,6 @@
 package org.hibiscusreel.coordination.forward;
 
+import java.io.ByteArrayOutputStream;
 import java.util.List;
 
 /** Sends the response of one request to its caller. Called only on the event loop thread. */
@@ -14,6 +15,19 @@
    */
   void respond(int status, List<HeaderField> fields, byte[] body);
 
+  /**
+   * Sends a complete response whose body is in several arrays.
+   *
+   * @param status HTTP status
+   * @param fields header fields
+   * @param body parts of the complete body, in order
+   */
+  default void respond(int status, List<HeaderField> fields, List<byte[]> body) {
+    ByteArrayOutputStream joined = new ByteArrayOutputStream();
+    body.forEach(joined::writeBytes);
+    respond(status, fields, joined.toByteArray());
+  }
+
   /**
    * Sends a refusal or failure that the daemon itself generates.
    *
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardAttempt.java
@@ -1,6 +1,5 @@
 package org.hibiscusreel.coordination.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,7 +51,7 @@
   interface Owner {
 
     /** Called with a complete response that is not a stream. */
-    void onFullResponse(int status, List<HeaderField> fields, byte[] body);
+    void onFullResponse(int status, List<HeaderField> fields, List<byte[]> body);
 
     /** Called before the first event, or before the end of a stream without events. */
     void onStreamBegin(int status, List<HeaderField> fields);
@@ -96,7 +95,7 @@
   private final long pendingTokens;
   private final Optional<StreamPosition> resumedAfter;
   private final EventFramer framer = new EventFramer(this::onEvent);
-  private final ByteArrayOutputStream bodyBuffer = new ByteArrayOutputStream();
+  private final BodyBlocks body = new BodyBlocks();
   private UpstreamTransport.Exchange exchange;
   private Cancellable silenceCheck = () -> {};
   private int status;
@@ -223,7 +222,7 @@
       framer.accept(bytes);
     } else {
       isAnswered |= bytes.length > 0;
-      bodyBuffer.writeBytes(bytes);
+      body.append(bytes);
     }
     if (!ended && !forwarder.responseBuffers().resize(this, bufferedBytes())) {
       exchange.cancel();
@@ -232,7 +231,7 @@
   }
 
   private long bufferedBytes() {
-    return framer.bufferedBytes() + bodyBuffer.size();
+    return framer.bufferedBytes() + body.size();
   }
 
   private boolean isStream() {
@@ -306,7 +305,7 @@
       if (status == STATUS_OK) {
         forwarder.crashes().onCompleted(traits);
       }
-      owner.onFullResponse(status, fields, bodyBuffer.toByteArray());
+      owner.onFullResponse(status, fields, body.take());
     } else if (framer.hasPartialEvent()) {
       reportBroken();
       fail(AttemptOutcome.BROKEN, "the stream ended inside an event");
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/ForwardTask.java
@@ -468,7 +468,7 @@
   }
 
   @Override
-  public void onFullResponse(int status, List<HeaderField> fields, byte[] body) {
+  public void onFullResponse(int status, List<HeaderField> fields, List<byte[]> body) {
     recordAttemptResult("status " + status);
     promptProcessed = true;
     boolean retryable = streamPosition.isPresent() || status >= STATUS_SERVER_ERROR;
@@ -673,7 +673,7 @@
     }
 
     @Override
-    public void onFullResponse(int status, List<HeaderField> fields, byte[] body) {
+    public void onFullResponse(int status, List<HeaderField> fields, List<byte[]> body) {
       if (!isPromoted && (streamPosition.isPresent() || status >= STATUS_SERVER_ERROR)) {
         onRefused(AttemptOutcome.FAILED, "status " + status);
       } else {
--- a/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
+++ b/coordination/src/main/java/org/hibiscusreel/coordination/forward/Forwarder.java
@@ -71,7 +71,8 @@
   private final UpstreamNotices notices;
   private final BrittleRooms brittleRooms;
   private final Set<ForwardTask> running = new HashSet<>();
-  private final ResponseBuffers responseBuffers = new ResponseBuffers();
+  private final ResponseBuffers responseBuffers =
+      new ResponseBuffers(Runtime.getRuntime().maxMemory());
   private boolean stopping;
   private long refused;
   private long served;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -99,17 +99,32 @@
 
   @Override
   public void respond(int status, List<HeaderField> fields, byte[] body) {
+    respond(status, fields, List.of(body));
+  }
+
+  @Override
+  public void respond(int status, List<HeaderField> fields, List<byte[]> body) {
     markEnded();
+    int length = body.stream().mapToInt(b -> b.length).sum();
     HttpResponse.Builder builder = newResponse(status, fields);
-    if (BodyPieces.isLarge(body) && !isHeadRequest) {
-      builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
-      builder.withBodyStream(BodyPieces.of(body));
+    if (BodyPieces.isLarge(length) && !isHeadRequest) {
+      builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(length));
+      builder.withBodyStream(BodyPieces.ofParts(body));
     } else {
-      builder.withBody(body);
+      builder.withBody(join(body));
     }
     response.trySet(builder.build());
   }
 
+  private static byte[] join(List<byte[]> parts) {
+    if (parts.size() == 1) {
+      return parts.get(0);
+    }
+    ByteArrayOutputStream joined = new ByteArrayOutputStream();
+    parts.forEach(joined::writeBytes);
+    return joined.toByteArray();
+  }
+
   @Override
   public void refuse(Refusal refusal) {
     CallerDialect.RefusalResponse sent = dialect.write(refusal);
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/AsyncHttpClient.java
@@ -245,7 +245,7 @@
       HttpMethod method, String url, List<Map.Entry<HttpHeader, String>> headers, byte[] body) {
     HttpRequest.Builder builder = HttpRequest.builder(method, url);
     headers.forEach(h -> builder.withHeader(h.getKey(), h.getValue()));
-    if (body != null && BodyPieces.isLarge(body)) {
+    if (body != null && BodyPieces.isLarge(body.length)) {
       builder.withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
       builder.withBodyStream(BodyPieces.of(body));
     } else if (body != null) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyPieces.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyPieces.java
@@ -3,7 +3,10 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.csp.supplier.ChannelSuppliers;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 import java.util.stream.IntStream;
 
 /**
@@ -20,11 +23,11 @@
   /**
    * Tells whether a body is sent piece by piece.
    *
-   * @param body the body
+   * @param length size of the body in bytes
    * @return true if it is larger than one piece
    */
-  public static boolean isLarge(byte[] body) {
-    return body.length > PIECE_BYTES;
+  public static boolean isLarge(int length) {
+    return length > PIECE_BYTES;
   }
 
   /**
@@ -46,4 +49,17 @@
   private static int end(int piece, int length) {
     return Math.min(length, (piece + 1) * PIECE_BYTES);
   }
+
+  /**
+   * Returns the parts of a body. Each is given up when it was sent, so that its memory is free.
+   *
+   * @param parts the parts, which must not change
+   * @return the parts in order, but for empty ones
+   */
+  public static ChannelSupplier<ByteBuf> ofParts(List<byte[]> parts) {
+    Deque<byte[]> left = new ArrayDeque<>(parts);
+    left.removeIf(p -> p.length == 0);
+    return ChannelSuppliers.ofSupplier(
+        () -> left.isEmpty() ? null : ByteBuf.wrapForReading(left.poll()));
+  }
 }
