Bound the responses that wait until their callers read

Callers that don't read ended a daemon: 300 requests for responses of 1 MB, half of the deployed heap, no response read.

Cause: a response stays in memory until its caller has read it. A stream pauses its upstream, a whole response has no bound but its own 4 MiB, and nothing adds up those of all callers.

Change: UnsentResponses counts the bytes handed to each connection and not yet written. Beyond a sixth of the heap (callers.response_memory_bytes, at least one response of 4 MiB) the connections on which nothing was written for longest are closed. Bodies of requests take from the same memory as heads and unsent responses. Gauges: callers.unsent_bytes and its limit.

The product's own interface doesn't count its responses yet.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/CallerResponseWriter.java
@@ -113,6 +113,7 @@
     } else {
       builder.withBody(join(body));
     }
+    connection.addUnsent(length);
     response.trySet(builder.build());
   }
 
@@ -155,6 +156,7 @@
   @Override
   public boolean write(byte[] piece) {
     buffered.writeBytes(piece);
+    connection.addUnsent(piece.length);
     completePendingRead();
     isPaused = buffered.size() >= HIGH_WATER_MARK_BYTES;
     return !isPaused;
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardDaemon.java
@@ -267,6 +267,9 @@
     decisions.register("callers.connections", server::connectionCount);
     registerLimits("callers", settings.intake().callers(), server::closedByLimits);
     decisions.register("callers.head_bytes", server::headBytes);
+    decisions.register("callers.unsent_bytes", server::unsentBytes);
+    decisions.register(
+        "callers.unsent_bytes_limit", settings.intake().callers()::responseMemoryBytes);
     registerLimits("status", settings.intake().status(), status::closedByLimits);
     registerLimits("metrics", settings.intake().status(), metrics::closedByLimits);
     registerLimits("relay", settings.intake().relays(), relay::closedByLimits);
@@ -295,11 +298,17 @@
     decisions.register(port + ".closed_by_limits", closed);
   }
 
-  /** Leaves room for others beside one sender, and for small bodies beside large ones. */
-  private static BodyMemory newBodyMemory(IntakeLimits limits) {
+  /**
+   * Leaves room for others beside one sender, and for small bodies beside large ones. Heads and
+   * responses that are not read take from the same memory.
+   */
+  private BodyMemory newBodyMemory(IntakeLimits limits) {
     long limit = limits.bodyMemoryBytes();
     return new BodyMemory(
-        limit, Math.max(ForwardServer.MAX_BODY_BYTES, limit / 2), limits.smallBodyMemoryBytes());
+        limit,
+        Math.max(ForwardServer.MAX_BODY_BYTES, limit / 2),
+        limits.smallBodyMemoryBytes(),
+        () -> this.server.headBytes() + this.server.unsentBytes());
   }
 
   private static String formatAddress(InetSocketAddress address) {
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/ForwardServer.java
@@ -172,6 +172,15 @@
     return connections.headBytes();
   }
 
+  /**
+   * Returns the bytes of all responses that wait until their callers read.
+   *
+   * @return bytes, 0 or more
+   */
+  public long unsentBytes() {
+    return connections.unsentBytes();
+  }
+
   /**
    * Returns the number of connections that were closed, or not accepted, because of the limits.
    *
--- a/daemon/src/main/java/org/hibiscusreel/daemon/forward/IntakeLimits.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/forward/IntakeLimits.java
@@ -41,6 +41,12 @@
   /** The bodies of requests may take the heap divided by this. */
   private static final int BODY_HEAP_DIVISOR = 4;
 
+  /** The responses that wait until their callers read may take the heap divided by this. */
+  private static final int RESPONSE_HEAP_DIVISOR = 6;
+
+  /** The largest response of an upstream that is passed on, in bytes. */
+  private static final long MIN_RESPONSE_MEMORY_BYTES = 4L * 1024 * 1024;
+
   /** Memory of all bodies that is left for small ones, as a part of the whole. */
   private static final int SMALL_BODY_DIVISOR = 8;
 
@@ -48,12 +54,16 @@
    * Checks the values.
    *
    * @throws NullPointerException if a value is null
-   * @throws IllegalArgumentException if the largest body finds no memory
+   * @throws IllegalArgumentException if the largest body or response finds no memory
    */
   public IntakeLimits {
     Objects.requireNonNull(callers, "callers");
     Objects.requireNonNull(status, "status");
     Objects.requireNonNull(relays, "relays");
+    if (callers.responseMemoryBytes() < MIN_RESPONSE_MEMORY_BYTES) {
+      throw new IllegalArgumentException(
+          "the memory of responses is smaller than " + MIN_RESPONSE_MEMORY_BYTES + " bytes");
+    }
     if (bodyMemoryBytes < minBodyMemoryBytes()) {
       throw new IllegalArgumentException(
           "the memory of bodies is smaller than " + minBodyMemoryBytes() + " bytes");
@@ -86,7 +96,11 @@
     long callers = Math.max(1, Math.min(byHeap, left / SOCKETS_PER_CALLER));
     long headMemory = ConnectionLimits.headMemoryBytes(heapBytes);
     return new IntakeLimits(
-        new ConnectionLimits((int) callers, ConnectionLimits.DEFAULT_MAX_HEAD_BYTES, headMemory),
+        new ConnectionLimits(
+            (int) callers,
+            ConnectionLimits.DEFAULT_MAX_HEAD_BYTES,
+            headMemory,
+            Math.max(MIN_RESPONSE_MEMORY_BYTES, heapBytes / RESPONSE_HEAP_DIVISOR)),
         new ConnectionLimits(status, STATUS_HEAD_BYTES, ConnectionLimits.MIN_HEAD_MEMORY_BYTES),
         new ConnectionLimits(
             relayed,
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyMemory.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/BodyMemory.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.LongSupplier;
 
 /**
  * Limits the memory that the bodies of requests take, of all senders together and of each one, so
@@ -17,6 +18,7 @@
   private final long limitBytes;
   private final long senderLimitBytes;
   private final long smallBytes;
+  private final LongSupplier otherBytes;
   private final Map<String, Long> bytesBySender = new HashMap<>();
   private long usedBytes;
 
@@ -29,6 +31,22 @@
    * @throws IllegalArgumentException if a limit is negative
    */
   public BodyMemory(long limitBytes, long senderLimitBytes, long smallBytes) {
+    this(limitBytes, senderLimitBytes, smallBytes, () -> 0);
+  }
+
+  /**
+   * Creates an account of memory that bodies share with others.
+   *
+   * @param limitBytes limit for all senders together, in bytes
+   * @param senderLimitBytes limit for one sender, in bytes
+   * @param smallBytes part of the limit for all that only small bodies may use, in bytes
+   * @param otherBytes supplies what others use of the limit for all, in bytes
+   * @throws IllegalArgumentException if a limit is negative
+   * @throws NullPointerException if the supplier is null
+   */
+  public BodyMemory(
+      long limitBytes, long senderLimitBytes, long smallBytes, LongSupplier otherBytes) {
+    this.otherBytes = Objects.requireNonNull(otherBytes, "otherBytes");
     if (limitBytes < 0 || senderLimitBytes < 0 || smallBytes < 0) {
       throw new IllegalArgumentException("a negative limit of bytes");
     }
@@ -76,7 +94,8 @@
     public boolean hasRoom(long count) {
       long ofSender = bytesBySender.getOrDefault(sender, 0L);
       long limit = bytes + count <= SMALL_BODY_BYTES ? limitBytes : limitBytes - smallBytes;
-      return usedBytes + count <= limit && ofSender + count <= senderLimitBytes;
+      long used = usedBytes + otherBytes.getAsLong();
+      return used + count <= limit && ofSender + count <= senderLimitBytes;
     }
 
     /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/http/CallerConnections.java
@@ -52,6 +52,7 @@
   private final TrafficListener traffic;
   private final ConnectionLimits limits;
   private final ConnectionRegister<TrackedConnection> register;
+  private final UnsentResponses<TrackedConnection> unsent;
   private final Supplier<byte[]> pipelinedRefusal;
   private final Function<RequestFraming.Fault, byte[]> framingRefusal;
   private final IdentityHashMap<HttpServerConnection, TrackedConnection> entries =
@@ -106,6 +107,7 @@
     this.loopTime = Objects.requireNonNull(loopTime, "loopTime");
     this.limits = Objects.requireNonNull(limits, "limits");
     this.register = new ConnectionRegister<>(limits);
+    this.unsent = new UnsentResponses<>(limits.responseMemoryBytes());
     this.traffic = Objects.requireNonNull(traffic, "traffic");
     this.pipelinedRefusal = Objects.requireNonNull(pipelinedRefusal, "pipelinedRefusal");
     this.framingRefusal = Objects.requireNonNull(framingRefusal, "framingRefusal");
@@ -171,6 +173,19 @@
       }
     }
 
+    /**
+     * Counts bytes of a response that wait until the caller reads. If those of all connections
+     * exceed their limit, the connections on which nothing was sent for longest are closed.
+     *
+     * @param bytes number of bytes, 0 or more
+     */
+    public void addUnsent(int bytes) {
+      if (!socket.isClosed()) {
+        unsent.add(this, bytes);
+        scheduleCloseExcess();
+      }
+    }
+
     /** Marks the response as a stream, which detects stalled writes itself. */
     public void markStreamed() {
       isStreamed = true;
@@ -357,6 +372,15 @@
     return register.headBytes();
   }
 
+  /**
+   * Returns the bytes of all responses that wait until their callers read.
+   *
+   * @return bytes, 0 or more
+   */
+  public long unsentBytes() {
+    return unsent.bytes();
+  }
+
   /**
    * Returns the number of connections that were closed, or not accepted, because of the limits.
    *
@@ -383,7 +407,9 @@
 
   /** Closes connections after the current read, which may be one of theirs. */
   private void scheduleCloseExcess() {
-    if (!isClosingExcess && !register.hasHeadMemory()) {
+    boolean isWithinLimits =
+        register.hasHeadMemory() && unsent.bytes() <= limits.responseMemoryBytes();
+    if (!isClosingExcess && !isWithinLimits) {
       isClosingExcess = true;
       scheduler.schedule(0, this::closeExcess);
     }
@@ -391,7 +417,9 @@
 
   private void closeExcess() {
     isClosingExcess = false;
-    for (TrackedConnection c : register.findExcess()) {
+    List<TrackedConnection> excess = new ArrayList<>(register.findExcess());
+    excess.addAll(unsent.findExcess());
+    for (TrackedConnection c : excess) {
       closedByLimits++;
       c.close();
     }
@@ -495,6 +523,7 @@
       e.isStreamed = false;
       e.disconnectTask = null;
       e.responses++;
+      unsent.remove(e);
       e.updatePhase();
       if (e.hasPipelined) {
         e.refusePipelined();
@@ -519,6 +548,7 @@
       if (e != null) {
         entriesBySocket.remove(e.socket);
         register.remove(e);
+        unsent.remove(e);
         e.notifyDisconnected();
       }
     }
@@ -572,6 +602,10 @@
     @Override
     public void onWrite(TcpSocket socket, ByteBuf buf, int bytes) {
       traffic.onSent(bytes);
+      TrackedConnection e = entriesBySocket.get(socket);
+      if (e != null && bytes > 0) {
+        unsent.onSent(e, bytes);
+      }
     }
 
     @Override
