Make the limits of the admin port settings, and report limits in metrics

The admin port had its limits as constants, which no operator could change, and the own interface reported what is in use without the limits.

limits.max_admin_connections (100) and limits.max_admin_head_bytes (8192) are optional and checked at the start; all limits of the own interface are gauges.

--- a/daemon/src/main/java/org/hibiscusreel/daemon/admin/AdminServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/admin/AdminServer.java
@@ -29,14 +29,8 @@
 public final class AdminServer {
 
   private static final int MAX_EVENTS = 1000;
-  private static final int MAX_CONNECTIONS = 100;
-  private static final int MAX_HEAD_BYTES = 8 * 1024;
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-  /** Limits of connections, of which monitoring needs a few with small requests. */
-  private static final ConnectionLimits LIMITS =
-      new ConnectionLimits(MAX_CONNECTIONS, MAX_HEAD_BYTES, ConnectionLimits.MIN_HEAD_MEMORY_BYTES);
-
   private final CallerConnections connections;
   private final HttpServer server;
   private final DaemonMetrics metrics;
@@ -50,6 +44,7 @@
    * @param reactor the event loop
    * @param scheduler time and delayed tasks of the same event loop
    * @param address address to bind
+   * @param limits limits of the connections
    * @param metrics metrics to serve
    * @param events timeline to serve
    * @param isReady tells whether the load balancer may send requests
@@ -60,6 +55,7 @@
       NioReactor reactor,
       Scheduler scheduler,
       InetSocketAddress address,
+      ConnectionLimits limits,
       DaemonMetrics metrics,
       EventLog events,
       BooleanSupplier isReady,
@@ -77,7 +73,7 @@
             .with(HttpMethod.GET, "/status", r -> json(this.status.get()))
             .build();
     this.connections =
-        new CallerConnections(scheduler, reactor, LIMITS, RequestFraming::toResponse);
+        new CallerConnections(scheduler, reactor, limits, RequestFraming::toResponse);
     this.server =
         HttpServer.builder(reactor, servlet)
             .withListenAddress(address)
@@ -88,6 +84,8 @@
             .withAcceptFilter((c, local, remote, ssl) -> !connections.admit())
             .build();
     metrics.register("admin_connections", connections::count);
+    metrics.register("admin_max_connections", limits::maxConnections);
+    metrics.register("admin_max_head_bytes", limits::maxHeadBytes);
     metrics.register("admin_connections_closed_by_limits", connections::closedByLimits);
   }
 
--- a/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/caller/CallerServer.java
@@ -113,6 +113,10 @@
     metrics.register("body_bytes", bodies::usedBytes);
     metrics.register("connections_closed_by_limits", connections::closedByLimits);
     metrics.register("head_bytes", connections::headBytes);
+    metrics.register("max_connections", settings.limits()::maxConnections);
+    metrics.register("max_head_bytes", settings.limits()::maxHeadBytes);
+    metrics.register("head_bytes_limit", settings.limits()::headMemoryBytes);
+    metrics.register("body_bytes_limit", settings.limits()::bodyMemoryBytes);
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/main/Daemon.java
@@ -118,6 +118,7 @@
             loop,
             scheduler,
             settings.listen().admin(),
+            settings.limits().toAdminLimits(),
             metrics,
             events,
             this::isReady,
--- a/daemon/src/main/java/org/hibiscusreel/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/settings/DaemonSettings.java
@@ -87,6 +87,8 @@
    * @param maxHeadBytes largest head of a request of a caller, in bytes
    * @param headMemoryBytes largest memory of all heads that lack their end, in bytes
    * @param bodyMemoryBytes largest memory of all bodies that are being read, in bytes
+   * @param maxAdminConnections largest number of connections to the admin port
+   * @param maxAdminHeadBytes largest head of a request to the admin port, in bytes
    */
   public record Limits(
       @JsonProperty(required = true) int maxBodyBytes,
@@ -95,11 +97,16 @@
       @JsonProperty(required = true) long drainTimeoutMs,
       Integer maxHeadBytes,
       Long headMemoryBytes,
-      Long bodyMemoryBytes) {
+      Long bodyMemoryBytes,
+      Integer maxAdminConnections,
+      Integer maxAdminHeadBytes) {
 
     /** All bodies that are being read may take the heap divided by this. */
     private static final int BODY_HEAP_DIVISOR = 4;
 
+    private static final int MAX_ADMIN_CONNECTIONS = 100;
+    private static final int MAX_ADMIN_HEAD_BYTES = 8 * 1024;
+
     /** Sets the values that are missing to those that fit the heap. */
     public Limits {
       long heap = Runtime.getRuntime().maxMemory();
@@ -107,6 +114,9 @@
       headMemoryBytes =
           headMemoryBytes == null ? ConnectionLimits.headMemoryBytes(heap) : headMemoryBytes;
       bodyMemoryBytes = bodyMemoryBytes == null ? heap / BODY_HEAP_DIVISOR : bodyMemoryBytes;
+      maxAdminConnections =
+          maxAdminConnections == null ? MAX_ADMIN_CONNECTIONS : maxAdminConnections;
+      maxAdminHeadBytes = maxAdminHeadBytes == null ? MAX_ADMIN_HEAD_BYTES : maxAdminHeadBytes;
     }
 
     /**
@@ -118,7 +128,16 @@
      * @param drainTimeoutMs longest time that a graceful stop waits for requests, in milliseconds
      */
     public Limits(int maxBodyBytes, int maxBufferedBills, int maxConnections, long drainTimeoutMs) {
-      this(maxBodyBytes, maxBufferedBills, maxConnections, drainTimeoutMs, null, null, null);
+      this(
+          maxBodyBytes,
+          maxBufferedBills,
+          maxConnections,
+          drainTimeoutMs,
+          null,
+          null,
+          null,
+          null,
+          null);
     }
 
     /**
@@ -129,6 +148,16 @@
     public ConnectionLimits toConnectionLimits() {
       return new ConnectionLimits(maxConnections, maxHeadBytes, headMemoryBytes);
     }
+
+    /**
+     * Returns the limits of the connections to the admin port, whose requests are few and small.
+     *
+     * @return limits
+     */
+    public ConnectionLimits toAdminLimits() {
+      return new ConnectionLimits(
+          maxAdminConnections, maxAdminHeadBytes, ConnectionLimits.MIN_HEAD_MEMORY_BYTES);
+    }
   }
 
   /**
--- a/daemon/src/main/java/org/hibiscusreel/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/hibiscusreel/daemon/settings/SettingsReader.java
@@ -240,6 +240,8 @@
       requirePositive("limits.max_head_bytes", s.limits().maxHeadBytes());
       requirePositive("limits.head_memory_bytes", s.limits().headMemoryBytes());
       requirePositive("limits.body_memory_bytes", s.limits().bodyMemoryBytes());
+      requirePositive("limits.max_admin_connections", s.limits().maxAdminConnections());
+      requirePositive("limits.max_admin_head_bytes", s.limits().maxAdminHeadBytes());
     }
 
     private void requireText(String key, String value) throws SettingsException {
--- a/daemon/src/test/java/org/hibiscusreel/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/hibiscusreel/daemon/settings/SettingsReaderTest.java
@@ -61,6 +61,11 @@
         "max_body_bytes = 1048576|max_body_bytes = 1.5|16|limits.max_body_bytes|type",
         "max_body_bytes = 1048576|max_body_bytes = 0|16|limits.max_body_bytes|positive",
         "drain_timeout_ms = 30000|drain_timeout_ms = true|19|limits.drain_timeout_ms|type",
+        "[log]|max_head_bytes = 0~[log]|20|limits.max_head_bytes|positive",
+        "[log]|head_memory_bytes = 0.5~[log]|20|limits.head_memory_bytes|type",
+        "[log]|body_memory_bytes = -1~[log]|20|limits.body_memory_bytes|positive",
+        "[log]|max_admin_connections = 0~[log]|20|limits.max_admin_connections|positive",
+        "[log]|max_admin_head_bytes = true~[log]|20|limits.max_admin_head_bytes|type",
         "127.0.0.1:8081|localhost:8081|7|listen.admin|IP number",
         "127.0.0.1:8081|127.0.0.1:99999|7|listen.admin|IP number",
         "127.0.0.1:8182|127.0.0.1|14|peers.seeds|IP number",
@@ -69,7 +74,7 @@
         "[log]|[log|20||",
       })
   void reportsFileLineAndKey(String from, String to, int line, String key, String reason) {
-    String text = VALID.replace(from.replace("~", "\n"), to);
+    String text = VALID.replace(from.replace("~", "\n"), to.replace("~", "\n"));
 
     SettingsException e =
         catchThrowableOfType(
