--- a/review/lib-3/Kit.java
+++ b/review/lib-3/Kit.java
@@ -88,7 +88,7 @@
 
   static void sleep(long millis) {
     try {
-      Thread.sleep(millis);
+      Thread.sleep(Math.max(0, millis));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -459,10 +459,16 @@
     final ServerSocket socket;
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     volatile Work work;
+    private final int slots;
     private final long born = System.currentTimeMillis();
 
     Engine(String id, String service, Work work) throws IOException {
+      this(id, service, 6, work);
+    }
+
+    Engine(String id, String service, int slots, Work work) throws IOException {
       this.id = id;
+      this.slots = slots;
       this.service = service;
       this.zone = "z-a";
       this.work = work;
@@ -500,7 +506,7 @@
     void register(Store store, String state, String version) {
       ObjectNode n = JSON.createObjectNode();
       n.put("service", service).put("addr", address + ":" + socket.getLocalPort()).put("zone", zone);
-      n.put("version", version).put("slots", 6).put("state", state).put("cold_left_ms", 0);
+      n.put("version", version).put("slots", slots).put("state", state).put("cold_left_ms", 0);
       n.put("call_seq", 0).put("born", born);
       store.put("servers", id, n.toString());
     }
